--- /dev/null
+++ b/Makefile
@@ -0,0 +1,71 @@
+# Everything that builds, tests and shows sycamoredeck. Tools are installed into .tools by
+# their pinned versions; nothing else is needed but Go, a C compiler and make.
+TOOLS := $(CURDIR)/.tools
+BUF_VERSION := v1.75.0
+PROTOC_GEN_GO_VERSION := v1.36.12
+PROTOC_GEN_GO_GRPC_VERSION := v1.6.2
+GOLANGCI_LINT_VERSION := v2.15.0
+
+export PATH := $(TOOLS):$(PATH)
+export CGO_ENABLED := 1
+
+.PHONY: all build demo test unit lint vet generate generate-check format bench clean
+
+all: build
+
+build:
+	go build -o bin/ ./cmd/...
+
+# The main job: the whole system on this machine, with real calls, jobs and kills.
+demo: build
+	./scripts/demo.sh
+
+# What CI runs: formatter, linter, vet, and all tests under the race detector.
+test: build lint vet unit
+
+unit:
+	go test -race -timeout 7m ./...
+
+vet:
+	go vet ./...
+
+lint: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) fmt --diff
+	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) run
+
+format: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
+	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) fmt
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./internal/...
+
+# Reproduces the generated code byte for byte.
+generate: $(TOOLS)/buf-$(BUF_VERSION) $(TOOLS)/protoc-gen-go-$(PROTOC_GEN_GO_VERSION) $(TOOLS)/protoc-gen-go-grpc-$(PROTOC_GEN_GO_GRPC_VERSION)
+	ln -sf protoc-gen-go-$(PROTOC_GEN_GO_VERSION) $(TOOLS)/protoc-gen-go
+	ln -sf protoc-gen-go-grpc-$(PROTOC_GEN_GO_GRPC_VERSION) $(TOOLS)/protoc-gen-go-grpc
+	$(TOOLS)/buf-$(BUF_VERSION) format -w
+	$(TOOLS)/buf-$(BUF_VERSION) lint
+	$(TOOLS)/buf-$(BUF_VERSION) generate
+
+# Fails where the committed code isn't what the schema gives.
+generate-check: generate
+	git diff --exit-code -- proto internal/schema
+
+$(TOOLS)/buf-$(BUF_VERSION):
+	GOBIN=$(TOOLS) go install github.com/bufbuild/buf/cmd/buf@$(BUF_VERSION)
+	mv $(TOOLS)/buf $@
+
+$(TOOLS)/protoc-gen-go-$(PROTOC_GEN_GO_VERSION):
+	GOBIN=$(TOOLS) go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	mv $(TOOLS)/protoc-gen-go $@
+
+$(TOOLS)/protoc-gen-go-grpc-$(PROTOC_GEN_GO_GRPC_VERSION):
+	GOBIN=$(TOOLS) go install google.golang.org/grpc/cmd/protoc-gen-go-grpc@$(PROTOC_GEN_GO_GRPC_VERSION)
+	mv $(TOOLS)/protoc-gen-go-grpc $@
+
+$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION):
+	GOBIN=$(TOOLS) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
+	mv $(TOOLS)/golangci-lint $@
+
+clean:
+	rm -rf bin
--- /dev/null
+++ b/cmd/sycamoredeck/main.go
@@ -0,0 +1,15 @@
+// This file starts the program.
+
+// Command sycamoredeck is the scheduler: its entry and control processes, and
+// the commands for callers and operators.
+package main
+
+import (
+	"os"
+
+	"sycamoredeck.example/internal/cli/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/base/setup/setup.go
@@ -0,0 +1,190 @@
+// This file defines how settings become flags, are read and checked.
+
+// Package setup turns a settings message into flags and environment variables
+// and checks the values by the rules that its schema gives.
+//
+// A setting named DataFolder is the flag --data-folder and the variable
+// SYCAMOREDECK_DATA_FOLDER; the flag goes first. Lists are separated by
+// commas.
+package setup
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"github.com/spf13/pflag"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// Prefix begins the names of all environment variables that are read.
+const Prefix = "SYCAMOREDECK_"
+
+type (
+	// Error names a setting that stops the start.
+	Error struct {
+		Setting, Value, Allowed string
+	}
+
+	option struct {
+		path  []protoreflect.FieldDescriptor
+		rule  *wire.Rule
+		value *string
+	}
+
+	// Binder connects a settings message with a set of flags.
+	Binder struct {
+		message proto.Message
+		flags   *pflag.FlagSet
+		options map[string]*option
+		// LookupEnv and Environ read the environment; those of package os
+		// when nil.
+		LookupEnv func(string) (string, bool)
+		Environ   func() []string
+	}
+)
+
+var _ error = (*Error)(nil)
+
+// Error names the setting, its value and what is allowed, in one line.
+func (e *Error) Error() string {
+	return fmt.Sprintf("setting --%s (%s): %q is not allowed; allowed: %s", e.Setting, variable(e.Setting), e.Value, e.Allowed)
+}
+
+// Bind adds a flag for every setting of the message, nested ones included.
+func Bind(message proto.Message, flags *pflag.FlagSet) *Binder {
+	b := &Binder{message: message, flags: flags, options: map[string]*option{}}
+	b.add(message.ProtoReflect().Descriptor(), nil)
+	return b
+}
+
+func (b *Binder) add(d protoreflect.MessageDescriptor, path []protoreflect.FieldDescriptor) {
+	for i := range d.Fields().Len() {
+		field := d.Fields().Get(i)
+		at := append(append([]protoreflect.FieldDescriptor(nil), path...), field)
+		rule, _ := proto.GetExtension(field.Options(), wire.E_Rule).(*wire.Rule)
+		if rule == nil {
+			b.add(field.Message(), at)
+			continue
+		}
+		name := strings.ReplaceAll(string(field.Name()), "_", "-")
+		o := &option{path: at, rule: rule}
+		o.value = b.flags.String(name, "", usage(name, rule))
+		b.options[name] = o
+	}
+}
+
+func usage(name string, r *wire.Rule) string {
+	text := r.Help
+	if r.Fallback != "" {
+		text += "; default " + r.Fallback
+	}
+	if r.Required {
+		text += "; required"
+	}
+	return fmt.Sprintf("%s (%s)", text, variable(name))
+}
+
+func variable(name string) string {
+	return Prefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+}
+
+// Load reads all settings into the message. The error is an *Error for the
+// first setting, in the order of names, that isn't allowed.
+func (b *Binder) Load() error {
+	if b.LookupEnv == nil {
+		b.LookupEnv = os.LookupEnv
+	}
+	if b.Environ == nil {
+		b.Environ = os.Environ
+	}
+	if err := b.refuseUnknown(); err != nil {
+		return err
+	}
+	names := make([]string, 0, len(b.options))
+	for name := range b.options {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		if err := b.load(name, b.options[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// refuseUnknown finds misspelt variables, which would otherwise be silently
+// without effect.
+func (b *Binder) refuseUnknown() error {
+	known := knownVariables()
+	for _, pair := range b.Environ() {
+		name, value, _ := strings.Cut(pair, "=")
+		if strings.HasPrefix(name, Prefix) && !known[name] {
+			flag := strings.ToLower(strings.ReplaceAll(strings.TrimPrefix(name, Prefix), "_", "-"))
+			return &Error{Setting: flag, Value: value, Allowed: "only known settings; this one isn't"}
+		}
+	}
+	return nil
+}
+
+// knownVariables are those of all commands, since one environment may serve
+// several.
+func knownVariables() map[string]bool {
+	known := map[string]bool{}
+	messages := wire.File_sycamoredeck_v1_settings_proto.Messages()
+	for i := range messages.Len() {
+		fields := messages.Get(i).Fields()
+		for k := range fields.Len() {
+			name := strings.ReplaceAll(string(fields.Get(k).Name()), "_", "-")
+			known[variable(name)] = true
+		}
+	}
+	return known
+}
+
+func (b *Binder) load(name string, o *option) error {
+	text := *o.value
+	if !b.flags.Changed(name) {
+		text = o.rule.Fallback
+		if fromEnv, ok := b.LookupEnv(variable(name)); ok {
+			text = fromEnv
+		}
+	}
+	field := o.path[len(o.path)-1]
+	if text == "" {
+		if o.rule.Required {
+			return &Error{Setting: name, Value: "", Allowed: "a value; " + o.rule.Help}
+		}
+		return nil
+	}
+	target := b.message.ProtoReflect()
+	for _, step := range o.path[:len(o.path)-1] {
+		target = target.Mutable(step).Message()
+	}
+	if field.IsList() {
+		return setList(target, name, field, o.rule, text)
+	}
+	value, err := parse(name, field, o.rule, text)
+	if err != nil {
+		return err
+	}
+	target.Set(field, value)
+	return nil
+}
+
+func setList(target protoreflect.Message, name string, field protoreflect.FieldDescriptor, r *wire.Rule, text string) error {
+	list := target.Mutable(field).List()
+	for _, part := range strings.Split(text, ",") {
+		value, err := parse(name, field, r, strings.TrimSpace(part))
+		if err != nil {
+			return err
+		}
+		list.Append(value)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cli/cmds/root.go
@@ -0,0 +1,184 @@
+// This file defines the command tree, exit codes and how errors are shown.
+
+// Package cmds is the command line of sycamoredeck.
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"sycamoredeck.example/internal/base/admin"
+	"sycamoredeck.example/internal/base/setup"
+	"sycamoredeck.example/internal/run/ctrl"
+	"sycamoredeck.example/internal/run/entry"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// The exit codes.
+const (
+	ExitDone    = 0
+	ExitFailed  = 1
+	ExitUsage   = 2
+	ExitNotRun  = 3
+	ExitUnknown = 4
+)
+
+type (
+	// usageError is a mistake on the command line or in a file given there.
+	usageError struct{ error }
+
+	// outcomeError carries the exit code of a request that has an outcome.
+	outcomeError struct {
+		code   int
+		reason string
+	}
+
+	// program is what the commands share.
+	program struct {
+		out, err io.Writer
+	}
+)
+
+// Unwrap gives the mistake.
+func (e usageError) Unwrap() error { return e.error }
+
+// Error gives the reason.
+func (e *outcomeError) Error() string { return e.reason }
+
+// Main runs one command line and returns its exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	p := &program{out: out, err: errOut}
+	root := p.root()
+	root.SetArgs(args)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitDone
+	}
+	fmt.Fprintf(errOut, "sycamoredeck: %s\n", message(err))
+	return exitCode(err)
+}
+
+func message(err error) string {
+	var outcome *outcomeError
+	if errors.As(err, &outcome) {
+		return outcome.reason
+	}
+	if s, ok := status.FromError(err); ok {
+		return fmt.Sprintf("%s (%s)", s.Message(), s.Code())
+	}
+	return err.Error()
+}
+
+func exitCode(err error) int {
+	var usage usageError
+	var setting *setup.Error
+	var outcome *outcomeError
+	switch {
+	case errors.As(err, &outcome):
+		return outcome.code
+	case errors.As(err, &usage), errors.As(err, &setting):
+		return ExitUsage
+	}
+	switch status.Code(err) {
+	case codes.InvalidArgument:
+		return ExitUsage
+	case codes.Unavailable:
+		return ExitNotRun
+	case codes.Aborted, codes.DeadlineExceeded, codes.Canceled:
+		return ExitUnknown
+	default:
+		return ExitFailed
+	}
+}
+
+func (p *program) root() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "sycamoredeck",
+		Short: "Scheduler for latency-critical and batch work that run colocated",
+		Long: "Scheduler for latency-critical and batch work that run colocated.\n\n" +
+			"Exit codes: 0 done, 1 failed, 2 bad usage, 3 not run (safe to send again), 4 outcome unknown.",
+		SilenceUsage: true, SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.AddCommand(p.entryCommand(), p.controlCommand(), p.callCommand(), p.jobCommand(), p.configCommand(),
+		p.memberCommand(), p.backendCommand(), p.workerCommand(), p.statusCommand(), p.versionCommand())
+	requireKnown(root)
+	return root
+}
+
+// requireKnown makes a group without or with an unknown subcommand a mistake;
+// cobra would print help and exit as if all were well.
+func requireKnown(c *cobra.Command) {
+	if c.HasSubCommands() && c.RunE == nil {
+		c.Args = cobra.ArbitraryArgs
+		c.RunE = func(c *cobra.Command, args []string) error {
+			if len(args) > 0 {
+				return usageError{fmt.Errorf("unknown command %q for %q", args[0], c.CommandPath())}
+			}
+			return usageError{fmt.Errorf("%q needs a command; see --help", c.CommandPath())}
+		}
+	} else if check := c.Args; check != nil {
+		c.Args = func(c *cobra.Command, args []string) error {
+			if err := check(c, args); err != nil {
+				return usageError{err}
+			}
+			return nil
+		}
+	}
+	for _, sub := range c.Commands() {
+		requireKnown(sub)
+	}
+}
+
+// daemon makes the command of a long-running process.
+func daemon[M proto.Message](use, short string, settings M, run func(context.Context, M) error) *cobra.Command {
+	c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
+	binder := setup.Bind(settings, c.Flags())
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if err := binder.Load(); err != nil {
+			return err
+		}
+		return run(c.Context(), settings)
+	}
+	return c
+}
+
+func (p *program) entryCommand() *cobra.Command {
+	return daemon("entry", "Run an entry process", &wire.EntrySettings{}, func(ctx context.Context, s *wire.EntrySettings) error {
+		return entry.Run(ctx, s, admin.Logger(p.err, s.Common))
+	})
+}
+
+func (p *program) controlCommand() *cobra.Command {
+	return daemon("control", "Run a control process", &wire.ControlSettings{}, func(ctx context.Context, s *wire.ControlSettings) error {
+		return ctrl.Run(ctx, s, admin.Logger(p.err, s.Common))
+	})
+}
+
+func (p *program) versionCommand() *cobra.Command {
+	return &cobra.Command{
+		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+		Run: func(*cobra.Command, []string) {
+			version := "unknown"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				version = info.Main.Version + " " + info.GoVersion
+			}
+			fmt.Fprintln(p.out, "sycamoredeck", version)
+		},
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/roster.go
@@ -0,0 +1,227 @@
+// This file defines Roster, the list of backend servers an entry knows.
+
+// Package roster keeps the backend servers that have announced themselves, at
+// this entry or at another that passed it on.
+//
+// It is soft state: an announcement older than the limit isn't used, so that a
+// backend server that died unheard, or whose news no longer reach this entry,
+// gets no new work after that time. Leaving is sticky within an incarnation,
+// since an older announcement may arrive by another way after it.
+package roster
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"sycamoredeck.example/internal/base/setup"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	maxSlots       = 4096
+	maxConnections = 65536
+	maxName        = 128
+	// forgetAfter is how long a silent backend server is remembered, so that
+	// a late announcement of a leaving one doesn't bring it back.
+	forgetAfter = 10 * time.Minute
+)
+
+// ErrImpossible is wrapped by every refusal of an announcement.
+var ErrImpossible = errors.New("impossible announcement")
+
+var (
+	heardTotal   = metrics.NewCounter("sycamoredeck_announcements_total")
+	refusedTotal = metrics.NewCounter("sycamoredeck_announcements_refused_total")
+)
+
+type (
+	record struct {
+		announcement *wire.Announcement
+		evidence     time.Time
+		// direct is when it announced itself here, and not through a peer.
+		direct time.Time
+		usable bool
+	}
+
+	// Options are fixed for the life of a Roster.
+	Options struct {
+		// Limit is the age of the last sign of life from which on a backend
+		// server isn't used.
+		Limit time.Duration
+		// Changed is called with the usable backend servers of a service
+		// whenever they change, one call at a time.
+		Changed func(service string, usable []*wire.Announcement)
+	}
+
+	// Roster may be used by many goroutines.
+	Roster struct {
+		options Options
+		mu      sync.Mutex
+		records map[string]*record
+	}
+)
+
+// New returns an empty roster.
+func New(options Options) *Roster {
+	return &Roster{options: options, records: map[string]*record{}}
+}
+
+// Check refuses an announcement that no sound backend server makes, and names
+// the field.
+func Check(a *wire.Announcement) error {
+	_, _, addressErr := net.SplitHostPort(a.GetAddress())
+	switch {
+	case a.GetBackendServerId() == "" || len(a.BackendServerId) > maxName:
+		return fmt.Errorf("%w: BackendServerId must have 1 to %d bytes", ErrImpossible, maxName)
+	case a.Incarnation == 0:
+		return fmt.Errorf("%w: Incarnation must be at least 1", ErrImpossible)
+	case !setup.NamePattern.MatchString(a.Service):
+		return fmt.Errorf("%w: Service is %q", ErrImpossible, a.Service)
+	case addressErr != nil:
+		return fmt.Errorf("%w: Address is %q", ErrImpossible, a.Address)
+	case a.Slots == 0 || a.Slots > maxSlots:
+		return fmt.Errorf("%w: Slots must be 1 to %d", ErrImpossible, maxSlots)
+	case a.Connections == 0 || a.Connections > maxConnections:
+		return fmt.Errorf("%w: Connections must be 1 to %d", ErrImpossible, maxConnections)
+	case len(a.FailureDomain) > maxName || len(a.WorkerId) > maxName:
+		return fmt.Errorf("%w: FailureDomain and WorkerId may have %d bytes", ErrImpossible, maxName)
+	default:
+		return nil
+	}
+}
+
+// Hear takes an announcement of the given age. Direct says that it was made
+// to this entry.
+func (r *Roster) Hear(now time.Time, a *wire.Announcement, age time.Duration, direct bool) error {
+	if err := Check(a); err != nil {
+		refusedTotal.Inc()
+		return err
+	}
+	heardTotal.Inc()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.records[a.BackendServerId]
+	if k == nil {
+		k = &record{}
+		r.records[a.BackendServerId] = k
+	}
+	switch {
+	case k.announcement != nil && a.Incarnation < k.announcement.Incarnation:
+		return nil
+	case k.announcement != nil && a.Incarnation == k.announcement.Incarnation && k.announcement.Leaving && !a.Leaving:
+		a = proto.Clone(a).(*wire.Announcement)
+		a.Leaving = true
+	}
+	changed := k.announcement == nil || !proto.Equal(k.announcement, a)
+	old := k.announcement
+	if changed {
+		k.announcement = a
+	}
+	if at := now.Add(-age); at.After(k.evidence) {
+		k.evidence = at
+	}
+	if direct {
+		k.direct = now
+	}
+	usable := r.usable(k, now)
+	if !changed && usable == k.usable {
+		return nil
+	}
+	k.usable = usable
+	r.notify(now, a.Service)
+	if old != nil && old.Service != a.Service {
+		r.notify(now, old.Service)
+	}
+	return nil
+}
+
+// Reply notes a sign of life from an answer to a request.
+func (r *Roster) Reply(now time.Time, id string, incarnation uint64, leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	k := r.records[id]
+	if k == nil || k.announcement.Incarnation != incarnation {
+		return
+	}
+	if now.After(k.evidence) {
+		k.evidence = now
+	}
+	if leaving && !k.announcement.Leaving {
+		k.announcement = proto.Clone(k.announcement).(*wire.Announcement)
+		k.announcement.Leaving = true
+		k.usable = false
+		r.notify(now, k.announcement.Service)
+	}
+}
+
+// Sweep takes those out of use whose evidence has grown too old.
+func (r *Roster) Sweep(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changed := map[string]bool{}
+	for id, k := range r.records {
+		if now.Sub(k.evidence) > forgetAfter {
+			delete(r.records, id)
+			continue
+		}
+		if usable := r.usable(k, now); usable != k.usable {
+			k.usable = usable
+			changed[k.announcement.Service] = true
+		}
+	}
+	for service := range changed {
+		r.notify(now, service)
+	}
+}
+
+// Direct lists what was announced here within the limit, for the peers.
+func (r *Roster) Direct(now time.Time) []*wire.HeardAnnouncement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var heard []*wire.HeardAnnouncement
+	for _, k := range r.records {
+		if age := now.Sub(k.direct); !k.direct.IsZero() && age <= r.options.Limit {
+			heard = append(heard, &wire.HeardAnnouncement{Announcement: k.announcement, Age: durationpb.New(age)})
+		}
+	}
+	return heard
+}
+
+// List gives all that are remembered, in the order of their ids.
+func (r *Roster) List(now time.Time) []*wire.BackendServerStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*wire.BackendServerStatus
+	for _, k := range r.records {
+		list = append(list, &wire.BackendServerStatus{
+			Announcement: k.announcement, EvidenceAge: durationpb.New(now.Sub(k.evidence)), Usable: r.usable(k, now),
+		})
+	}
+	sort.Slice(list, func(i, j int) bool {
+		return list[i].Announcement.BackendServerId < list[j].Announcement.BackendServerId
+	})
+	return list
+}
+
+func (r *Roster) usable(k *record, now time.Time) bool {
+	return !k.announcement.Leaving && now.Sub(k.evidence) <= r.options.Limit
+}
+
+func (r *Roster) notify(now time.Time, service string) {
+	var usable []*wire.Announcement
+	for _, k := range r.records {
+		if k.announcement.Service == service && r.usable(k, now) {
+			usable = append(usable, k.announcement)
+		}
+	}
+	sort.Slice(usable, func(i, j int) bool { return usable[i].BackendServerId < usable[j].BackendServerId })
+	r.options.Changed(service, usable)
+}
--- /dev/null
+++ b/internal/front/admit/queue.go
@@ -0,0 +1,167 @@
+// This file defines Queue, where calls wait for a slot.
+
+// Package admit decides in which order waiting calls are served. Client
+// accounts share by weight (start-time fair queueing): an account that asks
+// for more than its share waits in its own line and not in that of others, and
+// what one leaves unused the others get. Within an account the earliest
+// deadline is first.
+package admit
+
+import (
+	"container/heap"
+	"time"
+)
+
+var _ heap.Interface = (*line[int])(nil)
+
+type (
+	// Waiter is one call that waits. Grant is called once, when it is its turn.
+	Waiter[T any] struct {
+		Account  string
+		Weight   float64
+		Deadline time.Time
+		Grant    func(T)
+
+		index int // in its line, or -1
+	}
+
+	line[T any] struct {
+		waiters []*Waiter[T]
+		// start is the virtual time at which the account's next call begins.
+		start float64
+	}
+
+	// Queue is a weighted fair queue. The zero value is empty and ready. It
+	// isn't safe for concurrent use.
+	Queue[T any] struct {
+		lines   map[string]*line[T]
+		virtual float64
+		length  int
+	}
+)
+
+// Len is the number of waiting calls.
+func (q *Queue[T]) Len() int { return q.length }
+
+// LenOf is the number of an account's waiting calls.
+func (q *Queue[T]) LenOf(account string) int {
+	if l := q.lines[account]; l != nil {
+		return len(l.waiters)
+	}
+	return 0
+}
+
+// Push adds a call.
+func (q *Queue[T]) Push(w *Waiter[T]) {
+	if q.lines == nil {
+		q.lines = map[string]*line[T]{}
+	}
+	l := q.lines[w.Account]
+	if l == nil {
+		l = &line[T]{start: q.virtual}
+		q.lines[w.Account] = l
+	}
+	if len(l.waiters) == 0 {
+		l.start = max(l.start, q.virtual) // no credit for time spent idle
+	}
+	heap.Push(l, w)
+	q.length++
+}
+
+// Pop takes the call whose turn it is; nil when none waits.
+func (q *Queue[T]) Pop() *Waiter[T] {
+	var next *line[T]
+	for _, l := range q.lines {
+		if len(l.waiters) == 0 {
+			continue
+		}
+		if next == nil || l.start < next.start || (l.start == next.start && l.waiters[0].Deadline.Before(next.waiters[0].Deadline)) {
+			next = l
+		}
+	}
+	if next == nil {
+		return nil
+	}
+	w := heap.Pop(next).(*Waiter[T])
+	q.length--
+	q.virtual = next.start
+	next.start += 1 / max(w.Weight, 1e-9)
+	q.prune()
+	return w
+}
+
+// Remove takes a call out; false when it isn't there any more.
+func (q *Queue[T]) Remove(w *Waiter[T]) bool {
+	l := q.lines[w.Account]
+	if l == nil || w.index < 0 || w.index >= len(l.waiters) || l.waiters[w.index] != w {
+		return false
+	}
+	heap.Remove(l, w.index)
+	q.length--
+	return true
+}
+
+// TakeIf takes out all calls for which hopeless returns true. It is given each
+// call's position within its account.
+func (q *Queue[T]) TakeIf(hopeless func(w *Waiter[T], position int) bool) []*Waiter[T] {
+	var taken []*Waiter[T]
+	for _, l := range q.lines {
+		for position, w := range append([]*Waiter[T](nil), l.waiters...) {
+			if hopeless(w, position) {
+				q.Remove(w)
+				taken = append(taken, w)
+			}
+		}
+	}
+	return taken
+}
+
+// Share is the part of the slots that an account is due while all that wait
+// do, itself included.
+func (q *Queue[T]) Share(account string, weight float64) float64 {
+	total := weight
+	for name, l := range q.lines {
+		if name != account && len(l.waiters) > 0 {
+			total += l.waiters[0].Weight
+		}
+	}
+	return weight / total
+}
+
+// prune forgets empty lines that have no debt left.
+func (q *Queue[T]) prune() {
+	for name, l := range q.lines {
+		if len(l.waiters) == 0 && l.start <= q.virtual {
+			delete(q.lines, name)
+		}
+	}
+}
+
+// Len is part of heap.Interface; a line is a heap by deadline.
+func (l *line[T]) Len() int { return len(l.waiters) }
+
+// Less is part of heap.Interface.
+func (l *line[T]) Less(i, j int) bool { return l.waiters[i].Deadline.Before(l.waiters[j].Deadline) }
+
+// Swap is part of heap.Interface.
+func (l *line[T]) Swap(i, j int) {
+	l.waiters[i], l.waiters[j] = l.waiters[j], l.waiters[i]
+	l.waiters[i].index, l.waiters[j].index = i, j
+}
+
+// Push is part of heap.Interface.
+func (l *line[T]) Push(x any) {
+	w := x.(*Waiter[T])
+	w.index = len(l.waiters)
+	l.waiters = append(l.waiters, w)
+}
+
+// Pop is part of heap.Interface.
+func (l *line[T]) Pop() any {
+	last := len(l.waiters) - 1
+	w := l.waiters[last]
+	l.waiters[last] = nil
+	l.waiters = l.waiters[:last]
+	w.index = -1
+	return w
+}
--- /dev/null
+++ b/internal/front/fence/fence.go
@@ -0,0 +1,176 @@
+// This file defines Fence, which sees to it that nothing runs twice.
+
+// Package fence keeps requests that must not be repeated from being sent more
+// than once, by any entry: before the first byte a dispatch record is
+// committed, and whoever comes second is told what is recorded.
+package fence
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"sycamoredeck.example/internal/front/uplink"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	// heldFor is how long answers are held for callers who ask again.
+	heldFor = time.Minute
+	// maxHeldBytes bounds the answers held by an entry.
+	maxHeldBytes = 64 << 20
+	closeTimeout = 5 * time.Second
+)
+
+var (
+	openedTotal = metrics.NewCounter("sycamoredeck_dispatches_opened_total")
+	deniedTotal = metrics.NewCounter("sycamoredeck_dispatches_denied_total")
+	joinedTotal = metrics.NewCounter("sycamoredeck_dispatches_joined_total")
+)
+
+type (
+	// Fence may be used by many goroutines. It is made by New.
+	Fence struct {
+		uplink  *uplink.Uplink
+		clock   clockwork.Clock
+		entryID string
+
+		mu        sync.Mutex
+		runs      map[string]*Run
+		held      []*Run // ended ones, the oldest first
+		heldBytes int
+	}
+
+	// Run is one request that goes through this entry. Callers who send the
+	// same request id join it.
+	Run struct {
+		key      string
+		done     chan struct{}
+		response *wire.CallResponse
+		ended    time.Time
+	}
+
+	// Pass is the right to send a request once.
+	Pass struct {
+		request *wire.CallRequest
+		nonce   string
+	}
+)
+
+// New returns a fence that commits its records through the uplink.
+func New(entryID string, u *uplink.Uplink, clock clockwork.Clock) *Fence {
+	return &Fence{uplink: u, clock: clock, entryID: entryID, runs: map[string]*Run{}}
+}
+
+// Join returns the run of this request at this entry, and whether it is new;
+// then the caller must End it.
+func (f *Fence) Join(r *wire.CallRequest) (*Run, bool) {
+	key := r.ClientAccount + "\x00" + r.RequestId
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.dropOld()
+	if run := f.runs[key]; run != nil {
+		joinedTotal.Inc()
+		return run, false
+	}
+	run := &Run{key: key, done: make(chan struct{})}
+	f.runs[key] = run
+	return run, true
+}
+
+// Wait returns the run's response, or nil if the context ends first.
+func (run *Run) Wait(ctx context.Context) *wire.CallResponse {
+	select {
+	case <-run.done:
+		return run.response
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// End gives the run its response. One that wasn't run isn't held, since the
+// request may be sent anew.
+func (f *Fence) End(run *Run, response *wire.CallResponse) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	run.response, run.ended = response, f.clock.Now()
+	close(run.done)
+	if response.Outcome == wire.Outcome_OUTCOME_NOT_RUN {
+		delete(f.runs, run.key)
+		return
+	}
+	f.held = append(f.held, run)
+	f.heldBytes += len(response.Payload)
+	f.dropOld()
+}
+
+func (f *Fence) dropOld() {
+	now := f.clock.Now()
+	for len(f.held) > 0 && (f.heldBytes > maxHeldBytes || now.Sub(f.held[0].ended) > heldFor) {
+		oldest := f.held[0]
+		f.held = f.held[1:]
+		f.heldBytes -= len(oldest.response.Payload)
+		delete(f.runs, oldest.key)
+	}
+}
+
+// Open commits that the request is about to be sent. A nil Pass says that it
+// must not be, and the record says why; on an error nothing may be sent
+// either, though a record may have been committed.
+func (f *Fence) Open(ctx context.Context, r *wire.CallRequest, timeout time.Duration) (*Pass, *wire.DispatchRecord, error) {
+	p := &Pass{request: r, nonce: uuid.NewString()}
+	ask := &wire.OpenDispatchRequest{
+		ClientAccount: r.ClientAccount, RequestId: r.RequestId, EntryId: f.entryID,
+		Nonce: p.nonce, Timeout: durationpb.New(timeout),
+	}
+	got, err := uplink.Ask(ctx, f.uplink, ask, func(ctx context.Context, conn *grpc.ClientConn, q *wire.OpenDispatchRequest) (*wire.OpenDispatchResponse, error) {
+		return wire.NewControlServiceClient(conn).OpenDispatch(ctx, q)
+	})
+	if err != nil {
+		f.close(p, true) // the record may stand though its answer was lost
+		return nil, nil, err
+	}
+	if !got.Granted {
+		deniedTotal.Inc()
+		return nil, got.Recorded, nil
+	}
+	openedTotal.Inc()
+	return p, nil, nil
+}
+
+// Completed records that the request was run, without waiting: an open record
+// keeps others from sending it just as well.
+func (f *Fence) Completed(p *Pass) {
+	f.close(p, false)
+}
+
+// NotRun clears the record of a request that was proved not run, and waits
+// for it, so that the caller can send it anew once it is told.
+func (f *Fence) NotRun(ctx context.Context, p *Pass) error {
+	return f.commitClose(ctx, p, true)
+}
+
+func (f *Fence) close(p *Pass, notRun bool) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+		defer cancel()
+		// On an error the record stays open, which is the safe side.
+		_ = f.commitClose(ctx, p, notRun)
+	}()
+}
+
+func (f *Fence) commitClose(ctx context.Context, p *Pass, notRun bool) error {
+	ask := &wire.CloseDispatchRequest{
+		ClientAccount: p.request.ClientAccount, RequestId: p.request.RequestId, Nonce: p.nonce, NotRun: notRun,
+	}
+	_, err := uplink.Ask(ctx, f.uplink, ask, func(ctx context.Context, conn *grpc.ClientConn, q *wire.CloseDispatchRequest) (*wire.CloseDispatchResponse, error) {
+		return wire.NewControlServiceClient(conn).CloseDispatch(ctx, q)
+	})
+	return err
+}
--- /dev/null
+++ b/internal/front/route/attempt.go
@@ -0,0 +1,157 @@
+// This file defines one attempt: an HTTP/1.1 request and its whole answer.
+
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.opentelemetry.io/otel/attribute"
+
+	"sycamoredeck.example/internal/base/spans"
+)
+
+// The headers of the protocol towards backend servers.
+const (
+	HeaderRequestID     = "Sycamoredeck-Request-Id"
+	HeaderClientAccount = "Sycamoredeck-Client-Account"
+	HeaderTimeout       = "Sycamoredeck-Timeout-Ms"
+	// HeaderNotRun on an answer says that the request was refused and not run.
+	HeaderNotRun = "Sycamoredeck-Not-Run"
+	// HeaderLeaving on an answer says that the backend server is leaving.
+	HeaderLeaving = "Sycamoredeck-Leaving"
+)
+
+// What an attempt without a whole answer means.
+var (
+	// ErrNotRun: surely not run; no byte was sent, or it was refused.
+	ErrNotRun = errors.New("not run by the backend server")
+	// ErrUnknown: bytes were sent and no whole answer came back.
+	ErrUnknown = errors.New("no whole answer from the backend server")
+)
+
+type (
+	// Request is what is sent to a backend server.
+	Request struct {
+		ID, Account, Service string
+		Payload              []byte
+		Deadline             time.Time
+		Idempotent           bool
+		MaxAnswer            int
+	}
+
+	// Answer is a backend server's whole answer.
+	Answer struct {
+		Status  int
+		Payload []byte
+		Leaving bool
+	}
+)
+
+// Do sends the request and reads the whole answer. The error wraps ErrNotRun
+// or ErrUnknown. The caller holds a slot.
+func (b *Backend) Do(ctx context.Context, now time.Time, r Request) (Answer, error) {
+	ctx, span := spans.Hop(ctx, "attempt", attribute.String("backend_server", b.ID()))
+	defer span.End()
+	c, err := b.connect(now, r.Deadline, !r.Idempotent)
+	if err != nil {
+		return Answer{}, fmt.Errorf("%w: %w", ErrNotRun, err)
+	}
+	answer, reusable, err := c.exchange(ctx, b.announcement.Address, r)
+	if reusable {
+		b.putIdle(c, now)
+	} else {
+		// A connection with an answer still due, or one that made no sense,
+		// would hand that answer to the next request.
+		c.Close()
+	}
+	return answer, err
+}
+
+func (c *connection) exchange(ctx context.Context, host string, r Request) (Answer, bool, error) {
+	if err := c.SetDeadline(r.Deadline); err != nil {
+		return Answer{}, false, fmt.Errorf("%w: %w", ErrNotRun, err)
+	}
+	if sent, err := c.write(ctx, host, r); err != nil {
+		if sent {
+			return Answer{}, false, fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+		return Answer{}, false, fmt.Errorf("%w: %w", ErrNotRun, err)
+	}
+	return c.read(r)
+}
+
+// write sends the request, and tells whether any byte may have left.
+func (c *connection) write(ctx context.Context, host string, r Request) (bool, error) {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("/" + r.Service)
+	request.Header.SetHost(host)
+	request.Header.Set(HeaderRequestID, r.ID)
+	request.Header.Set(HeaderClientAccount, r.Account)
+	request.Header.Set(HeaderTimeout, strconv.FormatInt(max(time.Until(r.Deadline).Milliseconds(), 1), 10))
+	spans.Inject(ctx, request.Header.Set)
+	request.SetBodyRaw(r.Payload)
+	before := c.counted()
+	err := request.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	return c.counted() > before, err
+}
+
+// counted is the number of bytes that were handed to the kernel.
+func (c *connection) counted() int64 {
+	if counter, ok := c.Conn.(*countingConn); ok {
+		return counter.written
+	}
+	return 0
+}
+
+func (c *connection) read(r Request) (Answer, bool, error) {
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	if err := response.ReadLimitBody(c.reader, r.MaxAnswer); err != nil {
+		return Answer{}, false, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	if got := string(response.Header.Peek(HeaderRequestID)); got != r.ID {
+		return Answer{}, false, fmt.Errorf("%w: the answer is to request %q", ErrUnknown, got)
+	}
+	if response.Header.ContentLength() == identityLength {
+		// Its end is the connection's, so a cut answer would look whole.
+		return Answer{}, false, fmt.Errorf("%w: the answer has no length", ErrUnknown)
+	}
+	reusable := !response.ConnectionClose() && c.reader.Buffered() == 0
+	answer := Answer{
+		Status:  response.StatusCode(),
+		Payload: append([]byte(nil), response.Body()...),
+		Leaving: len(response.Header.Peek(HeaderLeaving)) > 0,
+	}
+	if len(response.Header.Peek(HeaderNotRun)) > 0 {
+		return answer, reusable, fmt.Errorf("%w: refused", ErrNotRun)
+	}
+	return answer, reusable, nil
+}
+
+// identityLength is what fasthttp gives for a body without length.
+const identityLength = -2
+
+// countingConn counts what was written, since "not run" may be said only of a
+// request of which nothing was.
+type countingConn struct {
+	net.Conn
+	written int64
+}
+
+// Write counts what it wrote.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written += int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/front/route/service.go
@@ -0,0 +1,364 @@
+// This file defines Service, which gives calls a slot at a backend server.
+
+// Package route chooses backend servers for calls and holds the connections
+// to them. Slots and connections are hard limits: a call has a slot of its own
+// from before its first byte until its answer is whole.
+package route
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"sycamoredeck.example/internal/front/admit"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	// latencyWeight is the part of a new latency in the moving average.
+	latencyWeight = 0.1
+	// firstLatency is assumed of a backend server that has answered nothing.
+	firstLatency = 5 * time.Millisecond
+	// otherDomain makes a backend server in another failure domain look this
+	// much slower, for the way there and back.
+	otherDomain = 1.3
+	// minRetryAfter and maxRetryAfter bound when callers are told to return.
+	minRetryAfter = 20 * time.Millisecond
+	maxRetryAfter = 10 * time.Second
+	// noServerRetryAfter is told while no backend server is known; one that
+	// starts announces itself within a second.
+	noServerRetryAfter = time.Second
+)
+
+// Why a call gets no slot. It has not been run.
+var (
+	ErrNoServer = errors.New("no usable backend server")
+	ErrBusy     = errors.New("the queue is full")
+	ErrTooLate  = errors.New("no slot becomes free before the deadline")
+	ErrGone     = errors.New("the caller has gone away")
+)
+
+type (
+	// Refusal says why and when to come back.
+	Refusal struct {
+		Err        error
+		RetryAfter time.Duration
+	}
+
+	// Ask is a call that needs a slot.
+	Ask struct {
+		Account  string
+		Weight   float64
+		Deadline time.Time
+		// Tried are the backend servers that were tried already; others go
+		// first.
+		Tried []string
+	}
+
+	// Options are the same for all services of an entry.
+	Options struct {
+		Clock         clockwork.Clock
+		FailureDomain string
+		QueueLength   int
+		// Part gives this entry's part of a backend server's slots.
+		Part func(server string, slots uint32) int
+		// Entries is the number of entries seen.
+		Entries func() int
+	}
+
+	// Service is the backend servers of one service as seen by one entry.
+	Service struct {
+		options Options
+
+		mu       sync.Mutex
+		backends []*Backend
+		queue    admit.Queue[*Backend]
+		free     int // slots not in use, over all backends
+		slots    int
+		latency  time.Duration
+	}
+)
+
+// Error gives the reason.
+func (r *Refusal) Error() string { return r.Err.Error() }
+
+// Unwrap gives one of this package's errors.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+var _ error = (*Refusal)(nil)
+
+// NewService returns a service without backend servers.
+func NewService(options Options) *Service {
+	return &Service{options: options, latency: firstLatency}
+}
+
+// Update replaces the backend servers. Those that go on keep their
+// connections; those that are gone get no new calls, and calls in flight end.
+func (s *Service) Update(usable []*wire.Announcement) {
+	s.mu.Lock()
+	known := map[string]*Backend{}
+	for _, b := range s.backends {
+		known[b.key()] = b
+	}
+	s.backends = s.backends[:0:0]
+	for _, a := range usable {
+		b := known[backendKey(a)]
+		if b == nil {
+			b = newBackend(a)
+		}
+		delete(known, b.key())
+		s.backends = append(s.backends, b)
+	}
+	for _, b := range known {
+		b.gone = true
+	}
+	s.resize()
+	granted := s.grantWaiting()
+	s.mu.Unlock()
+	for _, b := range known {
+		b.close()
+	}
+	granted.call()
+}
+
+// Resize works out this entry's slots anew, after the entries have changed.
+func (s *Service) Resize() {
+	s.mu.Lock()
+	s.resize()
+	granted := s.grantWaiting()
+	s.mu.Unlock()
+	granted.call()
+}
+
+func (s *Service) resize() {
+	s.slots, s.free = 0, 0
+	for _, b := range s.backends {
+		b.limit = s.options.Part(b.announcement.BackendServerId, b.announcement.Slots)
+		b.maxConnections = max(1, int(b.announcement.Connections)/(s.options.Entries()+1))
+		b.limit = min(b.limit, b.maxConnections)
+		s.slots += b.limit
+		s.free += max(0, b.limit-b.inFlight)
+	}
+}
+
+// Acquire returns a backend server with a slot taken, or a *Refusal.
+func (s *Service) Acquire(ctx context.Context, ask Ask) (*Backend, error) {
+	now := s.options.Clock.Now()
+	s.mu.Lock()
+	if len(s.backends) == 0 || s.slots == 0 {
+		s.mu.Unlock()
+		return nil, &Refusal{ErrNoServer, noServerRetryAfter}
+	}
+	if s.queue.Len() == 0 {
+		if b := s.pick(now, ask.Tried); b != nil {
+			s.take(b)
+			s.mu.Unlock()
+			return b, nil
+		}
+	}
+	if err := s.hopeless(now, ask); err != nil {
+		s.mu.Unlock()
+		return nil, err
+	}
+	granted := make(chan *Backend, 1)
+	w := &admit.Waiter[*Backend]{
+		Account: ask.Account, Weight: ask.Weight, Deadline: ask.Deadline,
+		Grant: func(b *Backend) { granted <- b },
+	}
+	s.queue.Push(w)
+	s.mu.Unlock()
+	return s.wait(ctx, w, granted)
+}
+
+// wait waits for a grant. A nil grant says that the call was given up on,
+// which is told at once rather than at the deadline.
+func (s *Service) wait(ctx context.Context, w *admit.Waiter[*Backend], granted chan *Backend) (*Backend, error) {
+	select {
+	case b := <-granted:
+		if b == nil {
+			return nil, &Refusal{ErrTooLate, s.retryAfter(w.Account, w.Weight)}
+		}
+		return b, nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	waiting := s.queue.Remove(w)
+	s.mu.Unlock()
+	if !waiting {
+		if b := <-granted; b != nil {
+			s.Release(b, Ended{})
+		}
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return nil, &Refusal{ErrGone, minRetryAfter}
+	}
+	return nil, &Refusal{ErrTooLate, s.retryAfter(w.Account, w.Weight)}
+}
+
+// hopeless refuses a call that would wait in vain.
+func (s *Service) hopeless(now time.Time, ask Ask) error {
+	wait := s.expectedWait(ask.Account, ask.Weight, s.queue.LenOf(ask.Account)+1)
+	if s.queue.Len() >= s.options.QueueLength {
+		return &Refusal{ErrBusy, clampRetry(wait)}
+	}
+	if now.Add(wait + s.latency).After(ask.Deadline) {
+		return &Refusal{ErrTooLate, clampRetry(wait)}
+	}
+	return nil
+}
+
+// expectedWait is how long the call at a position of its account's line waits,
+// by the present latency and the account's share of the slots.
+func (s *Service) expectedWait(account string, weight float64, position int) time.Duration {
+	rate := float64(max(s.slots, 1)) * s.queue.Share(account, max(weight, 1e-9))
+	return time.Duration(float64(s.latency) * float64(position) / rate)
+}
+
+func (s *Service) retryAfter(account string, weight float64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return clampRetry(s.expectedWait(account, weight, s.queue.LenOf(account)+1))
+}
+
+func clampRetry(d time.Duration) time.Duration {
+	// Spread by up to half, lest all that were refused return together.
+	d = max(minRetryAfter, min(d, maxRetryAfter))
+	return d + time.Duration(rand.Int64N(int64(d/2)+1))
+}
+
+// Shed answers waiting calls that have become hopeless, because slots were
+// lost or latency has risen since they came.
+func (s *Service) Shed() {
+	now := s.options.Clock.Now()
+	s.mu.Lock()
+	taken := s.queue.TakeIf(func(w *admit.Waiter[*Backend], position int) bool {
+		wait := s.expectedWait(w.Account, w.Weight, position/2+1)
+		return s.slots == 0 || now.Add(wait).After(w.Deadline)
+	})
+	s.mu.Unlock()
+	for _, w := range taken {
+		w.Grant(nil)
+	}
+}
+
+// pick chooses the better of two random backend servers with a free slot
+// (power of two choices), by expected latency.
+func (s *Service) pick(now time.Time, tried []string) *Backend {
+	if s.free <= 0 {
+		return nil
+	}
+	n := len(s.backends)
+	a, b := s.backends[rand.IntN(n)], s.backends[rand.IntN(n)]
+	okA, okB := a.usable(now, tried), b.usable(now, tried)
+	switch {
+	case okA && okB && s.cost(b) < s.cost(a):
+		return b
+	case okA:
+		return a
+	case okB:
+		return b
+	}
+	return s.scan(now, tried)
+}
+
+// scan looks at all backend servers from a random one on: those not tried
+// first, then any with a slot.
+func (s *Service) scan(now time.Time, tried []string) *Backend {
+	n := len(s.backends)
+	begin := rand.IntN(n)
+	var fallback *Backend
+	for i := range n {
+		b := s.backends[(begin+i)%n]
+		if b.usable(now, tried) {
+			return b
+		}
+		if fallback == nil && b.usable(now, nil) {
+			fallback = b
+		}
+	}
+	if fallback != nil {
+		return fallback
+	}
+	return s.leastEjected(begin)
+}
+
+// leastEjected is used when all with free slots are ejected. Ejection may
+// never leave callers with nothing.
+func (s *Service) leastEjected(begin int) *Backend {
+	n := len(s.backends)
+	var best *Backend
+	for i := range n {
+		b := s.backends[(begin+i)%n]
+		if b.inFlight < b.limit && (best == nil || b.ejectedUntil.Before(best.ejectedUntil)) {
+			best = b
+		}
+	}
+	return best
+}
+
+func (s *Service) cost(b *Backend) float64 {
+	cost := float64(b.latency) * float64(b.inFlight+1) / float64(max(b.limit, 1))
+	if b.announcement.FailureDomain != s.options.FailureDomain {
+		cost *= otherDomain
+	}
+	return cost
+}
+
+func (s *Service) take(b *Backend) {
+	b.inFlight++
+	s.free--
+}
+
+// Release gives the slot back and notes how the attempt went.
+func (s *Service) Release(b *Backend, e Ended) {
+	now := s.options.Clock.Now()
+	s.mu.Lock()
+	b.inFlight--
+	if b.inFlight < b.limit && !b.gone {
+		s.free++
+	}
+	b.note(now, e)
+	if e.Latency > 0 {
+		s.latency = average(s.latency, e.Latency)
+	}
+	granted := s.grantWaiting()
+	s.mu.Unlock()
+	granted.call()
+}
+
+type grants []struct {
+	waiter  *admit.Waiter[*Backend]
+	backend *Backend
+}
+
+func (g grants) call() {
+	for _, one := range g {
+		one.waiter.Grant(one.backend)
+	}
+}
+
+// grantWaiting gives free slots to those whose turn it is.
+func (s *Service) grantWaiting() grants {
+	var granted grants
+	now := s.options.Clock.Now()
+	for s.queue.Len() > 0 {
+		b := s.pick(now, nil)
+		if b == nil {
+			return granted
+		}
+		s.take(b)
+		granted = append(granted, struct {
+			waiter  *admit.Waiter[*Backend]
+			backend *Backend
+		}{s.queue.Pop(), b})
+	}
+	return granted
+}
+
+func average(old, sample time.Duration) time.Duration {
+	return time.Duration(float64(old)*(1-latencyWeight) + float64(sample)*latencyWeight)
+}
--- /dev/null
+++ b/internal/front/uplink/uplink.go
@@ -0,0 +1,323 @@
+// This file defines Uplink, an entry's view of the control replicas.
+
+// Package uplink keeps an entry in touch with the control replicas: it learns
+// who leads, which entries there are and which configuration is in force.
+//
+// Every replica is asked, not the leader alone, so that the loss of a leader
+// costs neither the list of entries nor the news of a configuration.
+package uplink
+
+import (
+	"context"
+	"log/slog"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	helloInterval = 200 * time.Millisecond
+	helloTimeout  = time.Second
+	// heardLimit is how long what a replica said counts.
+	heardLimit = 2 * time.Second
+)
+
+var (
+	helloFailed   = metrics.NewCounter("sycamoredeck_hello_failed_total")
+	configFetched = metrics.NewCounter("sycamoredeck_configurations_fetched_total")
+	withoutQuorum = metrics.NewCounter("sycamoredeck_entry_without_quorum_seconds_total")
+)
+
+type (
+	// Options are fixed for the life of an Uplink.
+	Options struct {
+		Clock     clockwork.Clock
+		Logger    *slog.Logger
+		Pool      *link.Pool
+		Addresses []string
+		Self      *wire.EntryStatus
+		// Configured is called with each newer configuration.
+		Configured func(*wire.ConfigurationVersion)
+		// EntriesChanged is called with the ids of the entries when they change.
+		EntriesChanged func(ids []string)
+	}
+
+	heard struct {
+		response *wire.HelloResponse
+		at       time.Time
+	}
+
+	// Uplink may be used by many goroutines once Run is started.
+	Uplink struct {
+		options Options
+		current atomic.Pointer[wire.ConfigurationVersion]
+
+		mu       sync.Mutex
+		replicas map[string]heard
+		loops    map[string]context.CancelFunc
+		entries  []*wire.EntryStatus
+		ids      []string
+		leader   string
+		term     uint64
+		// fetching guards against several loops fetching one version.
+		fetching sync.Mutex
+		// reviewing keeps EntriesChanged in the order of the views.
+		reviewing sync.Mutex
+	}
+)
+
+// New returns an uplink that knows nothing yet.
+func New(options Options) *Uplink {
+	return &Uplink{options: options, replicas: map[string]heard{}, loops: map[string]context.CancelFunc{}}
+}
+
+// Run keeps in touch until the context ends.
+func (u *Uplink) Run(ctx context.Context) {
+	u.follow(ctx, u.options.Addresses)
+	ticker := u.options.Clock.NewTicker(helloInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+			u.follow(ctx, u.memberAddresses())
+			u.review()
+		}
+	}
+}
+
+// follow keeps one loop running for each address that is set or a member.
+func (u *Uplink) follow(ctx context.Context, addresses []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	wanted := map[string]bool{}
+	for _, a := range append(append([]string(nil), u.options.Addresses...), addresses...) {
+		wanted[a] = true
+		if u.loops[a] == nil {
+			loop, cancel := context.WithCancel(ctx)
+			u.loops[a] = cancel
+			go u.loop(loop, a)
+		}
+	}
+	for a, cancel := range u.loops {
+		if !wanted[a] {
+			cancel()
+			delete(u.loops, a)
+			delete(u.replicas, a)
+		}
+	}
+}
+
+func (u *Uplink) loop(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		if !u.hello(ctx, address) {
+			helloFailed.Inc()
+		}
+		select {
+		case <-ctx.Done():
+		case <-u.options.Clock.After(helloInterval):
+		}
+	}
+}
+
+func (u *Uplink) hello(ctx context.Context, address string) bool {
+	conn, err := u.options.Pool.Conn(address)
+	if err != nil {
+		return false
+	}
+	self := &wire.EntryStatus{
+		EntryId: u.options.Self.EntryId, Address: u.options.Self.Address,
+		FailureDomain: u.options.Self.FailureDomain, ConfigurationVersion: u.version(),
+	}
+	limited, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	response, err := wire.NewControlServiceClient(conn).Hello(limited, &wire.HelloRequest{Entry: self})
+	if err != nil {
+		return false
+	}
+	u.note(address, response)
+	u.catchUp(ctx, conn, response)
+	return true
+}
+
+func (u *Uplink) note(address string, r *wire.HelloResponse) {
+	u.mu.Lock()
+	u.replicas[address] = heard{r, u.options.Clock.Now()}
+	u.mu.Unlock()
+	u.review()
+}
+
+// review works out from what the replicas said lately who leads, by the
+// highest term, and which entries there are.
+func (u *Uplink) review() {
+	u.reviewing.Lock()
+	defer u.reviewing.Unlock()
+	now := u.options.Clock.Now()
+	u.mu.Lock()
+	var leader string
+	var term uint64
+	entries := map[string]*wire.EntryStatus{u.options.Self.EntryId: u.options.Self}
+	fresh := 0
+	for _, h := range u.replicas {
+		if now.Sub(h.at) > heardLimit {
+			continue
+		}
+		fresh++
+		if h.response.LeaderAddress != "" && h.response.Term >= term {
+			leader, term = h.response.LeaderAddress, h.response.Term
+		}
+		for _, e := range h.response.Entries {
+			entries[e.EntryId] = e
+		}
+	}
+	changed := false
+	if fresh > 0 { // else the last view is the best there is
+		changed = u.setEntries(entries)
+	}
+	if leader != "" && leader != u.leader {
+		u.options.Logger.Info("leader changed", "leader", leader, "term", term)
+	}
+	u.leader, u.term = leader, term
+	ids := u.ids
+	u.mu.Unlock()
+	if changed {
+		u.options.EntriesChanged(ids)
+	}
+}
+
+func (u *Uplink) setEntries(entries map[string]*wire.EntryStatus) bool {
+	ids := make([]string, 0, len(entries))
+	list := make([]*wire.EntryStatus, 0, len(entries))
+	for id, e := range entries {
+		ids = append(ids, id)
+		list = append(list, e)
+	}
+	sort.Strings(ids)
+	same := len(ids) == len(u.ids)
+	for i := 0; same && i < len(ids); i++ {
+		same = ids[i] == u.ids[i]
+	}
+	u.ids, u.entries = ids, list
+	return !same
+}
+
+// catchUp fetches a configuration newer than the one in force here. The first
+// one must come from a leader confirmed by a quorum: this entry, or the one it
+// replaces, may have had a later one in force than a lagging replica knows.
+func (u *Uplink) catchUp(ctx context.Context, conn *grpc.ClientConn, r *wire.HelloResponse) {
+	first := u.current.Load() == nil
+	if !first && r.ConfigurationVersion <= u.version() {
+		return
+	}
+	if first {
+		leader, err := u.Leader()
+		if err != nil {
+			return
+		}
+		conn = leader
+	}
+	if !u.fetching.TryLock() {
+		return
+	}
+	defer u.fetching.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	got, err := wire.NewControlServiceClient(conn).FetchConfiguration(ctx, &wire.FetchConfigurationRequest{QuorumConfirmed: first})
+	if err != nil || got.Current == nil {
+		return
+	}
+	u.adopt(got.Current)
+}
+
+// adopt puts a configuration in force unless a later one is.
+func (u *Uplink) adopt(v *wire.ConfigurationVersion) {
+	current := u.current.Load()
+	if current != nil && v.Version <= current.Version {
+		return
+	}
+	configFetched.Inc()
+	u.options.Configured(v)
+	u.current.Store(v)
+	u.options.Logger.Info("configuration in force", "version", v.Version)
+}
+
+func (u *Uplink) version() uint64 {
+	return u.current.Load().GetVersion()
+}
+
+// Configuration is what is in force here; nil before the first.
+func (u *Uplink) Configuration() *wire.ConfigurationVersion {
+	return u.current.Load()
+}
+
+// Entries lists the entries seen, this one included.
+func (u *Uplink) Entries() []*wire.EntryStatus {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.entries
+}
+
+func (u *Uplink) memberAddresses() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var newest *wire.HelloResponse
+	for _, h := range u.replicas {
+		if newest == nil || h.response.Term > newest.Term {
+			newest = h.response
+		}
+	}
+	var addresses []string
+	for _, m := range newest.GetMembers() {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+// InTouch tells whether a majority of the voters was heard lately.
+func (u *Uplink) InTouch() bool {
+	now := u.options.Clock.Now()
+	addresses := u.memberAddresses()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	fresh := 0
+	for _, a := range addresses {
+		if h, ok := u.replicas[a]; ok && now.Sub(h.at) <= heardLimit {
+			fresh++
+		}
+	}
+	return len(addresses) > 0 && fresh > len(addresses)/2
+}
+
+// CountTouch counts the time without a majority, once a second.
+func (u *Uplink) CountTouch() {
+	if !u.InTouch() {
+		withoutQuorum.Inc()
+	}
+}
+
+// LeaderAddress is the leader's address, or empty.
+func (u *Uplink) LeaderAddress() string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leader
+}
+
+// Leader returns a connection to the leader.
+func (u *Uplink) Leader() (*grpc.ClientConn, error) {
+	address := u.LeaderAddress()
+	if address == "" {
+		return nil, status.Error(codes.Unavailable, NotDone+"no control leader is known")
+	}
+	return u.options.Pool.Conn(address)
+}
--- /dev/null
+++ b/internal/model/audit/audit.go
@@ -0,0 +1,146 @@
+// This file defines Check, which finds broken promises in journals.
+
+// Package audit reads the journals of model workers and servers and finds what
+// must not have happened: a task in two places, a unit of work done twice
+// without need, a request run twice, or one run that its caller was told was
+// not.
+package audit
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"sort"
+
+	"sycamoredeck.example/internal/model/front"
+)
+
+// maxLine is the longest journal line read.
+const maxLine = 1 << 20
+
+type (
+	// Findings are counts of broken promises, and the first few in words.
+	Findings struct {
+		Tasks, Finished, Requests int
+		// Overlaps: an attempt went on after a later one had begun.
+		Overlaps int
+		// FinishedTwice: a job was finished by more than one attempt.
+		FinishedTwice int
+		// RunTwice: a non-idempotent request ran more than once.
+		RunTwice int
+		// NotRunButRan: the caller was told not run, and it ran.
+		NotRunButRan int
+		Examples     []string
+	}
+
+	history struct {
+		events []front.Event
+	}
+)
+
+// Broken is the number of broken promises.
+func (f *Findings) Broken() int {
+	return f.Overlaps + f.FinishedTwice + f.RunTwice + f.NotRunButRan
+}
+
+// Read reads journal files. A last line that a kill cut off is passed over.
+func Read(paths []string) ([]front.Event, error) {
+	var events []front.Event
+	for _, path := range paths {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		scanner := bufio.NewScanner(file)
+		scanner.Buffer(nil, maxLine)
+		for scanner.Scan() {
+			var e front.Event
+			if json.Unmarshal(scanner.Bytes(), &e) == nil {
+				events = append(events, e)
+			}
+		}
+		file.Close()
+		if err := scanner.Err(); err != nil {
+			return nil, err
+		}
+	}
+	sort.SliceStable(events, func(i, j int) bool { return events[i].At.Before(events[j].At) })
+	return events, nil
+}
+
+// Check looks through events in the order of time. Once tells whether a
+// request id is of one that must not run twice.
+func Check(events []front.Event, once func(id string) bool) *Findings {
+	f := &Findings{}
+	tasks, requests := map[string]*history{}, map[string]*history{}
+	for _, e := range events {
+		group := tasks
+		if e.Attempt == 0 {
+			group = requests
+		}
+		if group[e.ID] == nil {
+			group[e.ID] = &history{}
+		}
+		group[e.ID].events = append(group[e.ID].events, e)
+	}
+	f.Tasks, f.Requests = len(tasks), len(requests)
+	for id, h := range tasks {
+		f.checkTask(id, h)
+	}
+	for id, h := range requests {
+		f.checkRequest(id, h, once(id))
+	}
+	return f
+}
+
+func (f *Findings) checkTask(id string, h *history) {
+	var latest uint32
+	finished := map[uint32]bool{}
+	for _, e := range h.events {
+		switch e.Kind {
+		case "start":
+			latest = max(latest, e.Attempt)
+		case "unit":
+			if e.Attempt < latest {
+				f.Overlaps++
+				f.example("job %s: attempt %d on %s did unit %d after attempt %d had begun", id, e.Attempt, e.Source, e.Unit, latest)
+			}
+		case "finished":
+			finished[e.Attempt] = true
+		}
+	}
+	if len(finished) > 0 {
+		f.Finished++
+	}
+	if len(finished) > 1 {
+		f.FinishedTwice++
+		f.example("job %s: finished by %d attempts", id, len(finished))
+	}
+}
+
+func (f *Findings) checkRequest(id string, h *history, once bool) {
+	runs, notRun := 0, false
+	for _, e := range h.events {
+		switch e.Kind {
+		case "run":
+			runs++
+		case "not-run":
+			notRun = true
+		}
+	}
+	if once && runs > 1 {
+		f.RunTwice++
+		f.example("request %s: ran %d times", id, runs)
+	}
+	if notRun && runs > 0 {
+		f.NotRunButRan++
+		f.example("request %s: ran, and its caller was told not run", id)
+	}
+}
+
+func (f *Findings) example(format string, args ...any) {
+	if len(f.Examples) < 10 {
+		f.Examples = append(f.Examples, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/internal/model/caller/caller.go
@@ -0,0 +1,211 @@
+// This file defines Run, a model of callers under an open-loop load.
+
+// Package caller models callers: requests arrive by their own clock, whether
+// or not earlier ones are answered, and latency counts from when a request was
+// due, so that a stall shows in full (no coordinated omission).
+package caller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"sycamoredeck.example/internal/model/front"
+	"sycamoredeck.example/internal/model/server"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	maxRecorded = int64(10 * time.Minute / time.Microsecond)
+	digits      = 3
+	// maxOutstanding bounds the requests waiting at once.
+	maxOutstanding = 20000
+)
+
+type (
+	// Options describe one load.
+	Options struct {
+		Entries          []string
+		ClientAccount    string
+		Service          string
+		Rate             float64 // requests a second
+		Duration         time.Duration
+		Timeout          time.Duration
+		PayloadBytes     int
+		IdempotentPart   float64
+		Seed             uint64
+		Prefix           string // of request ids
+		FollowRetryAfter bool
+		MaxReturns       int
+		Journal          *front.Journal
+	}
+
+	// Report is what callers saw. Latencies are of completed requests.
+	Report struct {
+		Sent, Completed, NotRun, Unknown, Failed, Wrong, Skipped int64
+		// Errors holds the first few failures.
+		Errors                      []string
+		Attempts, Returns           int64
+		Seconds, CompletedPerSecond float64
+		P50Us, P90Us, P99Us, P999Us int64
+		MaxUs                       int64
+		NotRunP99Us                 int64
+	}
+
+	run struct {
+		options  Options
+		balancer *front.Balancer
+		payload  []byte
+
+		mu      sync.Mutex
+		report  Report
+		latency *hdrhistogram.Histogram
+		notRun  *hdrhistogram.Histogram
+	}
+)
+
+// Run sends the load and waits for all answers.
+func Run(ctx context.Context, options Options) (*Report, error) {
+	balancer, err := front.New(options.Entries)
+	if err != nil {
+		return nil, err
+	}
+	defer balancer.Close()
+	if _, err := balancer.Wait(ctx); err != nil {
+		return nil, err
+	}
+	r := &run{
+		options: options, balancer: balancer, payload: bytes.Repeat([]byte("x"), options.PayloadBytes),
+		latency: hdrhistogram.New(1, maxRecorded, digits), notRun: hdrhistogram.New(1, maxRecorded, digits),
+	}
+	began := time.Now()
+	r.load(ctx, began)
+	r.report.Seconds = time.Since(began).Seconds()
+	return r.result(), nil
+}
+
+// load sends requests at exponentially spread moments (a Poisson process).
+func (r *run) load(ctx context.Context, began time.Time) {
+	random := rand.New(rand.NewPCG(r.options.Seed, 2))
+	var group sync.WaitGroup
+	tokens := make(chan struct{}, maxOutstanding)
+	due := began
+	for i := 0; due.Sub(began) < r.options.Duration && ctx.Err() == nil; i++ {
+		time.Sleep(time.Until(due))
+		idempotent := random.Float64() < r.options.IdempotentPart
+		select {
+		case tokens <- struct{}{}:
+			at, id := due, fmt.Sprintf("%s-%d", r.options.Prefix, i)
+			group.Go(func() {
+				defer func() { <-tokens }()
+				r.one(ctx, id, idempotent, at)
+			})
+		default:
+			r.count(func(s *Report) { s.Skipped++ })
+		}
+		due = due.Add(time.Duration(random.ExpFloat64() / r.options.Rate * float64(time.Second)))
+	}
+	group.Wait()
+}
+
+// one sends a request and, when told that it was not run, returns as told.
+func (r *run) one(ctx context.Context, id string, idempotent bool, due time.Time) {
+	r.count(func(s *Report) { s.Sent++ })
+	for returns := 0; ; returns++ {
+		response, err := r.send(ctx, id, idempotent)
+		if err != nil {
+			r.fail(err, idempotent)
+			return
+		}
+		if response.Outcome == wire.Outcome_OUTCOME_NOT_RUN && r.options.FollowRetryAfter && returns < r.options.MaxReturns {
+			r.count(func(s *Report) { s.Returns++ })
+			time.Sleep(response.RetryAfter.AsDuration())
+			continue
+		}
+		r.note(id, response, time.Since(due))
+		return
+	}
+}
+
+func (r *run) send(ctx context.Context, id string, idempotent bool) (*wire.CallResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.options.Timeout+5*time.Second)
+	defer cancel()
+	request := &wire.CallRequest{
+		RequestId: id, ClientAccount: r.options.ClientAccount, Service: r.options.Service,
+		Payload: r.payload, Timeout: durationpb.New(r.options.Timeout), Idempotent: idempotent,
+	}
+	for {
+		conn, err := r.balancer.Wait(ctx)
+		if err != nil {
+			return nil, err
+		}
+		response, err := wire.NewCallerServiceClient(conn).Call(ctx, request)
+		// An entry that died under an idempotent request is no reason to give
+		// it up: another entry takes it.
+		if status.Code(err) == codes.Unavailable && idempotent && ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		return response, err
+	}
+}
+
+func (r *run) fail(err error, idempotent bool) {
+	r.count(func(s *Report) {
+		if !idempotent && status.Code(err) == codes.Unavailable {
+			s.Unknown++ // the entry died under it; only its record knows
+			return
+		}
+		s.Failed++
+		if len(s.Errors) < 5 {
+			s.Errors = append(s.Errors, err.Error())
+		}
+	})
+}
+
+func (r *run) note(id string, response *wire.CallResponse, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Attempts += int64(response.Attempts)
+	us := max(latency.Microseconds(), 1)
+	switch response.Outcome {
+	case wire.Outcome_OUTCOME_COMPLETED:
+		r.report.Completed++
+		_ = r.latency.RecordValue(min(us, maxRecorded))
+		if response.RequestId != id || !bytes.Equal(response.Payload, server.Answer(id, r.payload)) {
+			r.report.Wrong++
+		}
+		r.options.Journal.Add("completed", id, 0, 0)
+	case wire.Outcome_OUTCOME_NOT_RUN:
+		r.report.NotRun++
+		_ = r.notRun.RecordValue(min(us, maxRecorded))
+		r.options.Journal.Add("not-run", id, 0, 0)
+	default:
+		r.report.Unknown++
+		r.options.Journal.Add("unknown", id, 0, 0)
+	}
+}
+
+func (r *run) count(f func(*Report)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.report)
+}
+
+func (r *run) result() *Report {
+	s := r.report
+	s.CompletedPerSecond = float64(s.Completed) / s.Seconds
+	s.P50Us, s.P90Us = r.latency.ValueAtQuantile(50), r.latency.ValueAtQuantile(90)
+	s.P99Us, s.P999Us = r.latency.ValueAtQuantile(99), r.latency.ValueAtQuantile(99.9)
+	s.MaxUs = r.latency.Max()
+	s.NotRunP99Us = r.notRun.ValueAtQuantile(99)
+	return &s
+}
--- /dev/null
+++ b/internal/model/front/balancer.go
@@ -0,0 +1,148 @@
+// This file defines Balancer, a model of the platform's balancer.
+
+// Package front models the platform's balancer: callers, backend servers and
+// workers reach the entries through it and know none by name.
+package front
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+
+	"sycamoredeck.example/internal/base/link"
+)
+
+const (
+	checkInterval = 200 * time.Millisecond
+	checkTimeout  = 500 * time.Millisecond
+)
+
+// ErrNone says that no entry is ready.
+var ErrNone = errors.New("no entry is ready")
+
+type target struct {
+	address string
+	conn    *grpc.ClientConn
+	ready   bool
+}
+
+// Balancer gives connections to entries that say they are ready.
+type Balancer struct {
+	mu      sync.Mutex
+	targets []*target
+	cancel  context.CancelFunc
+}
+
+// New starts checking the addresses.
+func New(addresses []string) (*Balancer, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &Balancer{cancel: cancel}
+	for _, a := range addresses {
+		conn, err := dial(a)
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		t := &target{address: a, conn: conn}
+		b.targets = append(b.targets, t)
+		go b.check(ctx, t)
+	}
+	return b, nil
+}
+
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.5, MaxDelay: 300 * time.Millisecond},
+			MinConnectTimeout: time.Second,
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(link.MaxMessageBytes)))
+}
+
+// check asks one entry again and again. After a check without answer it takes
+// a new connection, as a balancer does.
+func (b *Balancer) check(ctx context.Context, t *target) {
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, checkTimeout)
+		r, err := healthpb.NewHealthClient(b.connOf(t)).Check(limited, &healthpb.HealthCheckRequest{Service: link.ReadyService})
+		timedOut := limited.Err() != nil
+		cancel()
+		b.mu.Lock()
+		t.ready = err == nil && r.Status == healthpb.HealthCheckResponse_SERVING
+		b.mu.Unlock()
+		if timedOut && ctx.Err() == nil {
+			b.redial(t)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(checkInterval):
+		}
+	}
+}
+
+func (b *Balancer) connOf(t *target) *grpc.ClientConn {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return t.conn
+}
+
+func (b *Balancer) redial(t *target) {
+	conn, err := dial(t.address)
+	if err != nil {
+		return
+	}
+	b.mu.Lock()
+	old := t.conn
+	t.conn = conn
+	b.mu.Unlock()
+	old.Close()
+}
+
+// Pick returns a connection to a random ready entry.
+func (b *Balancer) Pick() (*grpc.ClientConn, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ready []*target
+	for _, t := range b.targets {
+		if t.ready {
+			ready = append(ready, t)
+		}
+	}
+	if len(ready) == 0 {
+		return nil, ErrNone
+	}
+	return ready[rand.IntN(len(ready))].conn, nil
+}
+
+// Wait waits until an entry is ready.
+func (b *Balancer) Wait(ctx context.Context) (*grpc.ClientConn, error) {
+	for {
+		conn, err := b.Pick()
+		if err == nil {
+			return conn, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(checkInterval / 4):
+		}
+	}
+}
+
+// Close ends the checks and all connections.
+func (b *Balancer) Close() {
+	b.cancel()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, t := range b.targets {
+		t.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/model/front/journal.go
@@ -0,0 +1,57 @@
+// This file defines Journal, the model's record of what really ran.
+
+package front
+
+import (
+	"encoding/json"
+	"os"
+	"sync"
+	"time"
+)
+
+type (
+	// Event is one line of a journal.
+	Event struct {
+		At      time.Time
+		Source  string
+		Kind    string
+		ID      string
+		Attempt uint32 `json:",omitempty"`
+		Unit    uint64 `json:",omitempty"`
+	}
+
+	// Journal appends events to a file, each with one write, so that a kill
+	// leaves whole lines. A nil Journal drops them.
+	Journal struct {
+		mu     sync.Mutex
+		file   *os.File
+		source string
+	}
+)
+
+// OpenJournal opens a file for appending; an empty path gives nil.
+func OpenJournal(path, source string) (*Journal, error) {
+	if path == "" {
+		return nil, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return &Journal{file: file, source: source}, nil
+}
+
+// Add appends an event that happens now.
+func (j *Journal) Add(kind, id string, attempt uint32, unit uint64) {
+	if j == nil {
+		return
+	}
+	data, err := json.Marshal(Event{At: time.Now(), Source: j.source, Kind: kind, ID: id, Attempt: attempt, Unit: unit})
+	if err != nil {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	// A line that can't be written shows as work not done, never as done.
+	_, _ = j.file.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/model/server/server.go
@@ -0,0 +1,204 @@
+// This file defines Server, a model of a backend server.
+
+// Package server models a backend server: it announces itself, answers
+// HTTP/1.1 requests in its slots, and goes wrong as it is told.
+package server
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"sycamoredeck.example/internal/front/route"
+	"sycamoredeck.example/internal/model/front"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+type (
+	// Faults is how a server goes wrong. The zero value is sound.
+	Faults struct {
+		// Slow multiplies the service time; 0 is 1.
+		Slow float64
+		// NoisePeriod and NoiseFactor multiply the service time by the factor
+		// in every second half of the period.
+		NoisePeriod time.Duration
+		NoiseFactor float64
+		// The parts of the requests that are refused, never answered, cut
+		// short, or answered under another request's id.
+		Refuse, Hang, Short, Mismatch float64
+	}
+
+	// Options describe one server.
+	Options struct {
+		Announcement *wire.Announcement
+		Entries      []string
+		Listen       string
+		// ServiceTime is the mean of an exponential part and a fixed half.
+		ServiceTime time.Duration
+		// Delay is added once on the way here and once on the way back.
+		Delay   time.Duration
+		Faults  Faults
+		Journal *front.Journal
+		Seed    uint64
+	}
+
+	// Stats is what a server has seen.
+	Stats struct {
+		Served, Refused, Hung, AfterLeaving int64
+		MaxInFlight, MaxConnections         int64
+	}
+
+	// Server is one running backend server.
+	Server struct {
+		options  Options
+		began    time.Time
+		leaving  atomic.Bool
+		leftAt   atomic.Int64
+		inFlight atomic.Int64
+		open     atomic.Int64
+		stats    struct{ served, refused, hung, late, maxInFlight, maxOpen atomic.Int64 }
+		mu       sync.Mutex
+		random   *rand.Rand
+		http     *fasthttp.Server
+	}
+)
+
+// lateAfter is how long after its leaving was announced a server may still be
+// sent new work; "a few seconds" by the brief.
+const lateAfter = 3 * time.Second
+
+// Run serves until the context ends, leaves, and gives what it has seen.
+func Run(ctx context.Context, options Options, leaveTime time.Duration) (Stats, error) {
+	s := &Server{options: options, began: time.Now(), random: rand.New(rand.NewPCG(options.Seed, 1))}
+	listener, err := net.Listen("tcp", options.Listen)
+	if err != nil {
+		return Stats{}, err
+	}
+	s.http = &fasthttp.Server{
+		Handler: s.handle, NoDefaultServerHeader: true, MaxRequestBodySize: 64 << 20,
+		ConnState: s.countConnections, CloseOnShutdown: true,
+	}
+	go s.http.Serve(listener)
+	announcing, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go s.announce(announcing)
+	<-ctx.Done()
+	s.leftAt.Store(time.Now().UnixNano())
+	s.leaving.Store(true)
+	time.Sleep(leaveTime)
+	cancel()
+	if err := s.http.Shutdown(); err != nil {
+		return Stats{}, err
+	}
+	return s.result(), nil
+}
+
+func (s *Server) result() Stats {
+	return Stats{
+		Served: s.stats.served.Load(), Refused: s.stats.refused.Load(), Hung: s.stats.hung.Load(),
+		AfterLeaving: s.stats.late.Load(), MaxInFlight: s.stats.maxInFlight.Load(), MaxConnections: s.stats.maxOpen.Load(),
+	}
+}
+
+func (s *Server) countConnections(_ net.Conn, state fasthttp.ConnState) {
+	switch state {
+	case fasthttp.StateNew:
+		raise(&s.stats.maxOpen, s.open.Add(1))
+	case fasthttp.StateClosed, fasthttp.StateHijacked:
+		s.open.Add(-1)
+	default:
+	}
+}
+
+func raise(top *atomic.Int64, value int64) {
+	for {
+		old := top.Load()
+		if value <= old || top.CompareAndSwap(old, value) {
+			return
+		}
+	}
+}
+
+func (s *Server) handle(c *fasthttp.RequestCtx) {
+	id := string(c.Request.Header.Peek(route.HeaderRequestID))
+	c.Response.Header.Set(route.HeaderRequestID, id)
+	if s.leaving.Load() {
+		c.Response.Header.Set(route.HeaderLeaving, "1")
+		if time.Since(time.Unix(0, s.leftAt.Load())) > lateAfter {
+			s.stats.late.Add(1)
+		}
+	}
+	inFlight := s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	raise(&s.stats.maxInFlight, inFlight)
+	if inFlight > int64(s.options.Announcement.Slots) || s.chance(s.options.Faults.Refuse) {
+		s.stats.refused.Add(1)
+		c.Response.Header.Set(route.HeaderNotRun, "1")
+		c.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	s.work(c, id)
+}
+
+func (s *Server) work(c *fasthttp.RequestCtx, id string) {
+	s.options.Journal.Add("run", id, 0, 0)
+	if s.chance(s.options.Faults.Hang) {
+		s.stats.hung.Add(1)
+		time.Sleep(time.Minute)
+	}
+	time.Sleep(s.serviceTime() + 2*s.options.Delay)
+	s.stats.served.Add(1)
+	body := Answer(id, c.Request.Body())
+	if s.chance(s.options.Faults.Mismatch) {
+		c.Response.Header.Set(route.HeaderRequestID, id+"-other")
+	}
+	if s.chance(s.options.Faults.Short) {
+		// Announces the whole length and breaks off in the middle.
+		c.SetBodyStream(io.LimitReader(bytes.NewReader(body), int64(len(body)/2)), len(body))
+		c.SetConnectionClose()
+		return
+	}
+	c.SetBody(body)
+}
+
+// Answer is the whole answer to a request, which callers check.
+func Answer(id string, payload []byte) []byte {
+	answer := make([]byte, 0, 2*len(id)+len(payload)+2)
+	answer = append(append(answer, id...), '|')
+	answer = append(append(answer, payload...), '|')
+	return append(answer, id...)
+}
+
+func (s *Server) chance(part float64) bool {
+	if part <= 0 {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64() < part
+}
+
+func (s *Server) serviceTime() time.Duration {
+	if s.options.ServiceTime == 0 {
+		return 0
+	}
+	s.mu.Lock()
+	random := s.random.ExpFloat64()
+	s.mu.Unlock()
+	t := float64(s.options.ServiceTime) * (0.5 + 0.5*random)
+	f := s.options.Faults
+	if f.Slow > 0 {
+		t *= f.Slow
+	}
+	if f.NoisePeriod > 0 && time.Since(s.began)%f.NoisePeriod > f.NoisePeriod/2 {
+		t *= f.NoiseFactor
+	}
+	return time.Duration(t)
+}
--- /dev/null
+++ b/internal/model/worker/worker.go
@@ -0,0 +1,307 @@
+// This file defines Worker, a model of the platform's worker.
+
+// Package worker models a worker: it attends at an entry, runs tasks under its
+// lease, checkpoints, and goes wrong as it is told. It keeps the worker's side
+// of the promise that a task never runs in two places: no unit of work begins
+// without a lease.
+package worker
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"sycamoredeck.example/internal/model/front"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	// answerTimeout is how long a report may go unanswered before the worker
+	// attends at another entry.
+	answerTimeout = time.Second
+	reattendPause = 50 * time.Millisecond
+	// checkpointEvery is how many units lie between checkpoints.
+	checkpointEvery = 5
+	defaultUnits    = 10
+)
+
+type (
+	// Options describe one worker.
+	Options struct {
+		Worker         *wire.Worker
+		Entries        []string
+		ReportInterval time.Duration
+		// UnitTime is how long one unit of work takes.
+		UnitTime time.Duration
+		// UsageLag is how old the reported usage is.
+		UsageLag time.Duration
+		// FailEverything makes every task fail at its first unit.
+		FailEverything bool
+		// SizeFactor multiplies the units that a payload declares.
+		SizeFactor float64
+		// NoisePeriod slows every second half of it by NoiseFactor.
+		NoisePeriod time.Duration
+		NoiseFactor float64
+		Journal     *front.Journal
+	}
+
+	task struct {
+		order      *wire.TaskOrder
+		done       uint64
+		checkpoint uint64
+		stop       bool
+		throttled  bool
+		ended      *wire.TaskReport
+	}
+
+	// Worker is one running worker.
+	Worker struct {
+		options Options
+		began   time.Time
+
+		mu       sync.Mutex
+		tasks    map[string]*task
+		sequence uint64
+		sent     map[uint64]time.Time
+		leaseEnd time.Time
+		term     uint64
+		answered time.Time
+	}
+)
+
+// Run attends and works until the context ends. Tasks running then are lost,
+// as with a kill.
+func Run(ctx context.Context, options Options) error {
+	options.Worker.Incarnation = strconv.FormatUint(rand.Uint64(), 36)
+	w := &Worker{options: options, began: time.Now(), tasks: map[string]*task{}, sent: map[uint64]time.Time{}}
+	balancer, err := front.New(options.Entries)
+	if err != nil {
+		return err
+	}
+	defer balancer.Close()
+	go w.watchLease(ctx)
+	for ctx.Err() == nil {
+		conn, err := balancer.Wait(ctx)
+		if err != nil {
+			return nil
+		}
+		w.attend(ctx, conn)
+		select {
+		case <-ctx.Done():
+		case <-time.After(reattendPause):
+		}
+	}
+	return nil
+}
+
+// attend reports at one entry until it fails or goes silent.
+func (w *Worker) attend(ctx context.Context, conn *grpc.ClientConn) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := wire.NewWorkerServiceClient(conn).Attend(ctx)
+	if err != nil {
+		return
+	}
+	go func() {
+		defer cancel()
+		for {
+			answer, err := stream.Recv()
+			if err != nil {
+				return
+			}
+			w.hear(answer)
+		}
+	}()
+	w.mu.Lock()
+	w.answered = time.Now()
+	w.mu.Unlock()
+	ticker := time.NewTicker(w.options.ReportInterval)
+	defer ticker.Stop()
+	for {
+		if w.silent() || stream.Send(w.report()) != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (w *Worker) silent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.answered) > answerTimeout+w.options.ReportInterval
+}
+
+func (w *Worker) report() *wire.AttendRequest {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	w.sent[w.sequence] = time.Now()
+	delete(w.sent, w.sequence-100)
+	r := &wire.AttendRequest{
+		Worker: proto.Clone(w.options.Worker).(*wire.Worker), Sequence: w.sequence,
+		Usage: &wire.Usage{Age: durationpb.New(w.options.UsageLag), MilliProcessors: uint64(len(w.tasks)) * 500},
+	}
+	for id, t := range w.tasks {
+		if t.ended != nil {
+			r.Tasks = append(r.Tasks, t.ended)
+			continue
+		}
+		r.Tasks = append(r.Tasks, &wire.TaskReport{
+			JobId: id, Attempt: t.order.Attempt, State: wire.TaskState_TASK_STATE_RUNNING, Checkpoint: t.checkpoint,
+		})
+	}
+	return r
+}
+
+// hear takes an answer. The lease runs from when the answered report was sent.
+func (w *Worker) hear(a *wire.AttendResponse) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if a.Term < w.term {
+		return // a leader that has been replaced
+	}
+	w.term = a.Term
+	w.answered = time.Now()
+	if sent, ok := w.sent[a.Sequence]; ok && a.Lease != nil {
+		if end := sent.Add(a.Lease.AsDuration()); end.After(w.leaseEnd) {
+			w.leaseEnd = end
+		}
+	}
+	for _, o := range a.Orders {
+		w.obey(o)
+	}
+}
+
+func (w *Worker) obey(o *wire.TaskOrder) {
+	t := w.tasks[o.JobId]
+	switch o.Kind {
+	case wire.OrderKind_ORDER_KIND_START:
+		if (t != nil && t.order.Attempt >= o.Attempt) || !time.Now().Before(w.leaseEnd) {
+			return
+		}
+		t = &task{order: o, done: o.Checkpoint, checkpoint: o.Checkpoint}
+		w.tasks[o.JobId] = t
+		go w.run(t)
+	case wire.OrderKind_ORDER_KIND_STOP:
+		if t != nil && t.order.Attempt == o.Attempt {
+			t.stop = true
+		}
+	case wire.OrderKind_ORDER_KIND_FORGET:
+		if t != nil && t.order.Attempt <= o.Attempt {
+			delete(w.tasks, o.JobId)
+		}
+	case wire.OrderKind_ORDER_KIND_THROTTLE:
+		if t != nil && t.order.Attempt == o.Attempt {
+			t.throttled = true
+		}
+	default:
+	}
+}
+
+// watchLease drops running tasks when the lease runs out.
+func (w *Worker) watchLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.mu.Lock()
+		if !time.Now().Before(w.leaseEnd) {
+			for id, t := range w.tasks {
+				if t.ended == nil {
+					w.options.Journal.Add("dropped", id, t.order.Attempt, t.done)
+					delete(w.tasks, id)
+				}
+			}
+		}
+		w.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// run works on a task unit by unit while the worker holds it and has a lease.
+func (w *Worker) run(t *task) {
+	w.options.Journal.Add("start", t.order.JobId, t.order.Attempt, t.done)
+	units := w.units(t.order.Spec.GetPayload())
+	for {
+		end, held := w.next(t, units)
+		if !held {
+			return
+		}
+		if end != nil {
+			w.end(t, end)
+			return
+		}
+		time.Sleep(w.unitTime(t))
+	}
+}
+
+// next begins the next unit, or tells how the task ended. Held is false once
+// the worker may not go on.
+func (w *Worker) next(t *task, units uint64) (end *wire.TaskReport, held bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.tasks[t.order.JobId] != t || !time.Now().Before(w.leaseEnd) {
+		return nil, false
+	}
+	standing := t.order.Class == wire.JobClass_JOB_CLASS_STANDING
+	switch {
+	case t.stop:
+		t.checkpoint = t.done
+		return &wire.TaskReport{State: wire.TaskState_TASK_STATE_STOPPED}, true
+	case w.options.FailEverything:
+		return &wire.TaskReport{State: wire.TaskState_TASK_STATE_FAILED, Reason: "this worker fails everything"}, true
+	case t.done >= units && !standing:
+		return &wire.TaskReport{State: wire.TaskState_TASK_STATE_FINISHED, Result: fmt.Appendf(nil, "%d units", t.done)}, true
+	}
+	t.done++
+	w.options.Journal.Add("unit", t.order.JobId, t.order.Attempt, t.done)
+	if t.done%checkpointEvery == 0 {
+		t.checkpoint = t.done
+	}
+	return nil, true
+}
+
+func (w *Worker) end(t *task, r *wire.TaskReport) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r.JobId, r.Attempt, r.Checkpoint = t.order.JobId, t.order.Attempt, t.checkpoint
+	t.ended = r
+	kind := strings.ToLower(strings.TrimPrefix(r.State.String(), "TASK_STATE_"))
+	w.options.Journal.Add(kind, r.JobId, r.Attempt, t.done)
+}
+
+// units reads "units=N" from a payload.
+func (w *Worker) units(payload []byte) uint64 {
+	units := uint64(defaultUnits)
+	if text, ok := strings.CutPrefix(string(payload), "units="); ok {
+		if n, err := strconv.ParseUint(text, 10, 32); err == nil {
+			units = n
+		}
+	}
+	if w.options.SizeFactor > 0 {
+		units = uint64(float64(units) * w.options.SizeFactor)
+	}
+	return max(units, 1)
+}
+
+func (w *Worker) unitTime(t *task) time.Duration {
+	d := float64(w.options.UnitTime)
+	if p := w.options.NoisePeriod; p > 0 && time.Since(w.began)%p > p/2 {
+		d *= w.options.NoiseFactor
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if t.throttled {
+		d *= 2
+	}
+	return time.Duration(d)
+}
--- /dev/null
+++ b/internal/run/ctrl/ctrl.go
@@ -0,0 +1,306 @@
+// This file defines Control, its start and its stop.
+
+// Package ctrl is the control process: one replica of the system's durable
+// state and, while it leads, the scheduler of batch and standing work.
+package ctrl
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"sycamoredeck.example/internal/base/admin"
+	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/base/spans"
+	"sycamoredeck.example/internal/sched/plan"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/node"
+	"sycamoredeck.example/internal/store/peers"
+	"sycamoredeck.example/internal/store/quorum"
+	"sycamoredeck.example/internal/store/state"
+	"sycamoredeck.example/internal/store/walog"
+)
+
+const (
+	// announceInterval is how often a replica that isn't a member asks to be
+	// let in.
+	announceInterval = time.Second
+	// handoverWait bounds how long a stopping leader waits for a successor.
+	handoverWait = 3 * time.Second
+)
+
+type (
+	// view is what other goroutines may know of the loop, renewed each turn.
+	view struct {
+		leads   bool
+		leader  string // advertised address, or empty
+		term    uint64
+		version uint64
+		members []*wire.ControlMember
+	}
+
+	// Control is one running control process.
+	Control struct {
+		settings *wire.ControlSettings
+		logger   *slog.Logger
+		clock    clockwork.Clock
+		self     *wire.ControlMember
+		pool     link.Pool
+		founder  *peers.Founder
+		carrier  *peers.Transport
+		admin    admin.Server
+		log      *walog.Log
+		node     *node.Node
+		machine  *state.Machine
+		planner  *plan.Planner
+		server   *grpc.Server
+		view     atomic.Pointer[view]
+		entries  entryTable
+		watchers watchTable
+		failed   chan error
+		// running is set once node may be used by other goroutines.
+		running atomic.Bool
+
+		// seenMembers is the membership the view was made from.
+		seenMembers *wire.Membership
+		closing     chan struct{}
+		background  sync.WaitGroup
+	}
+)
+
+// Run serves until the context ends, then hands over and stops. It returns an
+// error when the start or the disk fails.
+func Run(ctx context.Context, settings *wire.ControlSettings, logger *slog.Logger) error {
+	c := &Control{
+		settings: settings, logger: logger, clock: clockwork.NewRealClock(),
+		failed: make(chan error, 1), closing: make(chan struct{}),
+	}
+	flush, err := spans.Start(ctx, "control", settings.Common)
+	if err != nil {
+		return err
+	}
+	defer flush(context.WithoutCancel(ctx))
+	if err := c.start(ctx); err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		c.stop()
+		return nil
+	case err := <-c.failed:
+		c.server.Stop()
+		return trace.Wrap(err)
+	}
+}
+
+func (c *Control) start(ctx context.Context) error {
+	log, durable, err := walog.Open(c.settings.DataFolder, walog.Options{})
+	if err != nil {
+		return err
+	}
+	c.log = log
+	if durable.TornBytes > 0 {
+		c.logger.Warn("cut off an unfinished write", "bytes", durable.TornBytes)
+	}
+	if err := c.identify(durable); err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", c.settings.Common.ListenAddress)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	c.view.Store(&view{})
+	c.register()
+	go c.server.Serve(listener)
+	if err := c.admin.Start(c.settings.Common.AdminAddress); err != nil {
+		return err
+	}
+	if err := c.found(ctx, durable); err != nil {
+		return err
+	}
+	return c.startNode(durable)
+}
+
+// identify reads this replica's identity, or draws one for a new folder.
+func (c *Control) identify(durable *walog.Durable) error {
+	if durable.Vote.GetReplicaId() == 0 {
+		id := rand.Uint64() | 1
+		durable.Vote = &wire.Vote{Term: durable.Vote.GetTerm(), VotedFor: durable.Vote.GetVotedFor(), ReplicaId: id}
+		if err := c.log.SaveVote(durable.Vote); err != nil {
+			return err
+		}
+	}
+	common := c.settings.Common
+	c.self = &wire.ControlMember{Name: common.InstanceId, Address: Advertised(common), ReplicaId: durable.Vote.ReplicaId}
+	c.founder = &peers.Founder{Self: c.self, Pool: &c.pool}
+	for _, text := range c.settings.FoundingMembers {
+		name, address, _ := strings.Cut(text, "=")
+		c.founder.Members = append(c.founder.Members, &wire.ControlMember{Name: name, Address: address})
+	}
+	return nil
+}
+
+// Advertised is the address at which others reach an instance.
+func Advertised(common *wire.CommonSettings) string {
+	if common.AdvertiseAddress != "" {
+		return common.AdvertiseAddress
+	}
+	return common.ListenAddress
+}
+
+func (c *Control) found(ctx context.Context, durable *walog.Durable) error {
+	if durable.Snapshot != nil {
+		return nil
+	}
+	membership, err := c.founder.Found(ctx)
+	if err != nil {
+		return trace.Wrap(err, "founding the cluster")
+	}
+	durable.Snapshot = &wire.Snapshot{Membership: membership}
+	c.logger.Info("joined cluster", "cluster", membership.ClusterId, "members", len(membership.Members))
+	return c.log.WriteSnapshot(durable.Snapshot)
+}
+
+func (c *Control) startNode(durable *walog.Durable) error {
+	c.machine = state.New(state.Options{
+		Retention: c.settings.RecordRetention.AsDuration(),
+		OnJob: func(j *wire.Job) {
+			c.planner.Changed()
+			c.watchers.notify(j)
+		},
+	})
+	c.carrier = &peers.Transport{Pool: &c.pool}
+	n, err := node.New(node.Options{
+		ID:                c.self.ReplicaId,
+		HeartbeatInterval: c.settings.HeartbeatInterval.AsDuration(),
+		ElectionTimeout:   c.settings.ElectionTimeout.AsDuration(),
+		SnapshotRecords:   uint64(c.settings.SnapshotRecords),
+		Clock:             c.clock, Logger: c.logger,
+		Send:   c.carrier.Send,
+		Turn:   c.turn,
+		Failed: func(err error) { c.failed <- err },
+	}, c.log, durable, c.machine)
+	if err != nil {
+		return err
+	}
+	c.node = n
+	c.planner = plan.New(plan.Options{
+		Machine: c.machine, Lease: c.settings.WorkerLease.AsDuration(),
+		Overlap: c.settings.ElectionTimeout.AsDuration(),
+		Propose: n.Propose, Leads: n.Leads, Confirmed: n.ConfirmedAt,
+		Term:   func() uint64 { return n.Core().Status().Term },
+		Logger: c.logger,
+	})
+	c.publish(time.Time{})
+	c.running.Store(true)
+	go n.Run()
+	c.background.Go(c.announceLoop)
+	return nil
+}
+
+// turn runs on the loop after each turn of the replica.
+func (c *Control) turn(now time.Time) {
+	c.planner.Turn(now)
+	c.publish(now)
+}
+
+func (c *Control) publish(time.Time) {
+	status := c.node.Core().Status()
+	members := c.node.Core().Members()
+	_, leads := c.node.Leads()
+	old := c.view.Load()
+	version := c.machine.Configuration().Version
+	leader := addressOf(members, status.Leader)
+	unchanged := old.leads == leads && old.term == status.Term && old.version == version && old.leader == leader
+	if unchanged && c.seenMembers == members {
+		return
+	}
+	c.seenMembers = members
+	c.founder.SetMembership(members)
+	c.admin.SetReady(leader != "")
+	c.view.Store(&view{leads: leads, leader: leader, term: status.Term, version: version, members: members.GetMembers()})
+}
+
+func addressOf(m *wire.Membership, id uint64) string {
+	for _, member := range m.GetMembers() {
+		if member.ReplicaId == id {
+			return member.Address
+		}
+	}
+	return ""
+}
+
+// announceLoop makes a replica that has no place in the membership visible to
+// operators until it has one.
+func (c *Control) announceLoop() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for {
+		select {
+		case <-c.closing:
+			return
+		case <-c.clock.After(announceInterval):
+		}
+		member := false
+		for _, m := range c.view.Load().members {
+			member = member || m.ReplicaId == c.self.ReplicaId
+		}
+		if !member {
+			c.founder.Announce(ctx)
+		}
+	}
+}
+
+// stop hands leadership over, lets calls in flight finish and closes.
+func (c *Control) stop() {
+	c.admin.SetReady(false)
+	c.handOver()
+	var group errgroup.Group
+	stopped := make(chan struct{})
+	group.Go(func() error {
+		c.server.GracefulStop()
+		close(stopped)
+		return nil
+	})
+	close(c.closing)
+	select {
+	case <-stopped:
+	case <-c.clock.After(c.settings.Common.DrainTimeout.AsDuration()):
+		c.server.Stop()
+	}
+	_ = group.Wait()
+	c.background.Wait()
+	c.node.Stop()
+	c.carrier.Close()
+	c.pool.Close()
+	c.admin.Close()
+	c.log.Close()
+	c.logger.Info("stopped")
+}
+
+func (c *Control) handOver() {
+	ctx, cancel := context.WithTimeout(context.Background(), handoverWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		leads := false
+		err := c.node.Do(ctx, func() {
+			if c.node.Core().Status().Role == quorum.Leader {
+				leads = c.node.Core().Handover()
+			}
+		})
+		if err != nil || !leads {
+			return
+		}
+		c.clock.Sleep(20 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/run/ctrl/jobs.go
@@ -0,0 +1,237 @@
+// This file defines how a control replica serves jobs.
+
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"sycamoredeck.example/internal/base/spans"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	defaultListLimit = 100
+	maxListLimit     = 10000
+	maxCancelled     = 10000
+	// watchPoll is how often a watch looks whether this replica still leads.
+	watchPoll = time.Second
+)
+
+type (
+	jobService struct {
+		wire.UnimplementedJobServiceServer
+		*Control
+	}
+
+	// watchTable wakes those who watch a job. Notify is called on the loop
+	// while a replica applies. The zero value is empty.
+	watchTable struct {
+		mu       sync.Mutex
+		watchers map[string]map[chan struct{}]bool
+	}
+)
+
+var _ wire.JobServiceServer = (*jobService)(nil)
+
+// Submit commits a job.
+func (s *jobService) Submit(ctx context.Context, r *wire.SubmitRequest) (*wire.SubmitResponse, error) {
+	if err := s.started(); err != nil {
+		return nil, err
+	}
+	if err := checkSubmit(r, int(s.settings.MaxPayloadBytes)); err != nil {
+		return nil, err
+	}
+	ctx, span := spans.Hop(ctx, "commit")
+	defer span.End()
+	result, err := s.node.Commit(ctx, &wire.Command{Body: &wire.Command_SubmitJob{SubmitJob: &wire.SubmitJob{
+		JobId: uuid.NewString(), IdempotencyKey: r.IdempotencyKey, Spec: r.Spec,
+	}}})
+	if err == nil {
+		err = refused(result.Err)
+	}
+	if err != nil {
+		return nil, turned(err)
+	}
+	answer := &wire.SubmitResponse{Duplicate: result.Duplicate}
+	return answer, s.copyJob(ctx, result.Job.JobId, &answer.Job)
+}
+
+func checkSubmit(r *wire.SubmitRequest, maxPayload int) error {
+	switch {
+	case r.IdempotencyKey == "" || len(r.IdempotencyKey) > 128:
+		return status.Error(codes.InvalidArgument, "IdempotencyKey must have 1 to 128 bytes")
+	case r.Spec == nil:
+		return status.Error(codes.InvalidArgument, "Spec is missing")
+	case len(r.Spec.Payload) > maxPayload:
+		return status.Errorf(codes.InvalidArgument, "Spec.Payload has %d bytes; at most %d are allowed", len(r.Spec.Payload), maxPayload)
+	}
+	return nil
+}
+
+// copyJob copies a job on the loop, since only there it may be read.
+func (s *jobService) copyJob(ctx context.Context, id string, into **wire.Job) error {
+	return turned(s.node.Do(ctx, func() {
+		if j := s.machine.Job(id); j != nil {
+			*into = proto.Clone(j).(*wire.Job)
+		}
+	}))
+}
+
+// refused makes a status of why the state refused a command.
+func refused(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, state.ErrUnknownJob), errors.Is(err, state.ErrUnknownWorker):
+		return status.Error(codes.NotFound, err.Error())
+	case errors.Is(err, state.ErrKeyReused), errors.Is(err, state.ErrOperationReuse):
+		return status.Error(codes.AlreadyExists, err.Error())
+	default:
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+}
+
+// Get gives a job as of no earlier than the call.
+func (s *jobService) Get(ctx context.Context, r *wire.GetRequest) (*wire.GetResponse, error) {
+	if err := s.started(); err != nil {
+		return nil, err
+	}
+	answer := &wire.GetResponse{}
+	err := s.node.Read(ctx, func() {
+		if j := s.machine.Job(r.JobId); j != nil {
+			answer.Job = proto.Clone(j).(*wire.Job)
+		}
+	})
+	if err != nil {
+		return nil, turned(err)
+	}
+	if answer.Job == nil {
+		return nil, status.Errorf(codes.NotFound, "no such job: %q", r.JobId)
+	}
+	return answer, nil
+}
+
+// List gives jobs in submission order.
+func (s *jobService) List(ctx context.Context, r *wire.ListRequest) (*wire.ListResponse, error) {
+	if err := s.started(); err != nil {
+		return nil, err
+	}
+	limit := int(r.Limit)
+	if limit == 0 {
+		limit = defaultListLimit
+	}
+	answer := &wire.ListResponse{}
+	err := s.node.Read(ctx, func() {
+		var after uint64
+		if j := s.machine.Job(r.AfterJobId); j != nil {
+			after = j.Sequence
+		}
+		for _, j := range s.machine.Jobs(r.ClientAccount, r.State, after, min(limit, maxListLimit)) {
+			answer.Jobs = append(answer.Jobs, proto.Clone(j).(*wire.Job))
+		}
+	})
+	return answer, turned(err)
+}
+
+// Cancel commits the cancellation of jobs. Running ones end once their worker
+// has stopped them.
+func (s *jobService) Cancel(ctx context.Context, r *wire.CancelRequest) (*wire.CancelResponse, error) {
+	if err := s.started(); err != nil {
+		return nil, err
+	}
+	if len(r.JobIds) == 0 || len(r.JobIds) > maxCancelled {
+		return nil, status.Errorf(codes.InvalidArgument, "JobIds must have 1 to %d elements", maxCancelled)
+	}
+	result, err := s.node.Commit(ctx, &wire.Command{Body: &wire.Command_CancelJobs{CancelJobs: &wire.CancelJobs{JobIds: r.JobIds}}})
+	if err == nil {
+		err = refused(result.Err)
+	}
+	if err != nil {
+		return nil, turned(err)
+	}
+	answer := &wire.CancelResponse{}
+	err = s.node.Do(ctx, func() {
+		for _, id := range r.JobIds {
+			if j := s.machine.Job(id); j != nil {
+				answer.Jobs = append(answer.Jobs, proto.Clone(j).(*wire.Job))
+			}
+		}
+	})
+	return answer, turned(err)
+}
+
+// Watch sends a job whenever it has changed, until it has ended.
+func (s *jobService) Watch(r *wire.WatchRequest, stream grpc.ServerStreamingServer[wire.WatchResponse]) error {
+	if err := s.started(); err != nil {
+		return err
+	}
+	wake, cancel := s.watchers.watch(r.JobId)
+	defer cancel()
+	var last *wire.Job
+	for {
+		got, err := s.Get(stream.Context(), &wire.GetRequest{JobId: r.JobId})
+		if err != nil {
+			return err
+		}
+		if !proto.Equal(got.Job, last) {
+			if err := stream.Send(&wire.WatchResponse{Job: got.Job}); err != nil {
+				return err
+			}
+			last = got.Job
+		}
+		if state.Ended(got.Job) {
+			return nil
+		}
+		select {
+		case <-wake:
+		case <-s.clock.After(watchPoll):
+		case <-s.closing:
+			return status.Error(codes.Unavailable, "stopping")
+		case <-stream.Context().Done():
+			return status.FromContextError(stream.Context().Err()).Err()
+		}
+	}
+}
+
+// notify wakes the watchers of a job.
+func (t *watchTable) notify(j *wire.Job) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for wake := range t.watchers[j.JobId] {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (t *watchTable) watch(job string) (<-chan struct{}, func()) {
+	wake := make(chan struct{}, 1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.watchers == nil {
+		t.watchers = map[string]map[chan struct{}]bool{}
+	}
+	if t.watchers[job] == nil {
+		t.watchers[job] = map[chan struct{}]bool{}
+	}
+	t.watchers[job][wake] = true
+	return wake, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.watchers[job], wake)
+		if len(t.watchers[job]) == 0 {
+			delete(t.watchers, job)
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/ctrl/peer.go
@@ -0,0 +1,272 @@
+// This file defines what control replicas and entries ask of a control replica.
+
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sort"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/front/uplink"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/node"
+)
+
+const (
+	// entryHeard is how long an entry counts as running after its last hello.
+	entryHeard = 3 * time.Second
+	// leaderCheck is how often a relay stream asks whether this replica still
+	// leads, so that entries move on soon after a change.
+	leaderCheck = 200 * time.Millisecond
+	// outgoingAnswers bounds the answers waiting for one entry. What is
+	// dropped is sent again with the answer to a worker's next report.
+	outgoingAnswers = 4096
+	// notDone begins the messages of refusals after which nothing was done;
+	// entries tell them by it from connections that broke.
+	notDone = uplink.NotDone
+	// dispatchGrace is how long a dispatch record outlives its request's
+	// deadline; a caller may ask until then what became of it.
+	dispatchGrace = 10 * time.Minute
+)
+
+type (
+	peerService struct {
+		wire.UnimplementedPeerServiceServer
+		*Control
+	}
+
+	controlService struct {
+		wire.UnimplementedControlServiceServer
+		*Control
+	}
+
+	heardEntry struct {
+		status *wire.EntryStatus
+		at     time.Time
+	}
+
+	// entryTable is the soft list of entries. The zero value is empty.
+	entryTable struct {
+		mu      sync.Mutex
+		entries map[string]heardEntry
+	}
+)
+
+var (
+	_ wire.PeerServiceServer    = (*peerService)(nil)
+	_ wire.ControlServiceServer = (*controlService)(nil)
+)
+
+func (c *Control) register() {
+	c.server, _ = link.NewServer(link.MaxMessageBytes, c.settings.Common.TraceEndpoint != "")
+	wire.RegisterPeerServiceServer(c.server, &peerService{Control: c})
+	wire.RegisterControlServiceServer(c.server, &controlService{Control: c})
+	wire.RegisterJobServiceServer(c.server, &jobService{Control: c})
+	wire.RegisterOperatorServiceServer(c.server, &operatorService{Control: c})
+}
+
+// started tells callers who come before the cluster is founded to come again.
+func (c *Control) started() error {
+	if !c.running.Load() || c.view.Load().members == nil {
+		return status.Error(codes.Unavailable, notDone+"this replica isn't part of a cluster yet")
+	}
+	return nil
+}
+
+// Exchange takes the messages of another replica.
+func (s *peerService) Exchange(stream grpc.ClientStreamingServer[wire.ExchangeRequest, wire.ExchangeResponse]) error {
+	for {
+		select {
+		case <-s.closing:
+			return status.Error(codes.Unavailable, "stopping")
+		default:
+		}
+		r, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return stream.SendAndClose(&wire.ExchangeResponse{})
+		}
+		if err != nil {
+			return err
+		}
+		if s.running.Load() {
+			s.node.Step(r.Messages)
+		}
+	}
+}
+
+// Identify tells who this replica is.
+func (s *peerService) Identify(_ context.Context, r *wire.IdentifyRequest) (*wire.IdentifyResponse, error) {
+	return s.founder.Identify(r), nil
+}
+
+// Hello hears an entry and tells it who leads and what is in force.
+func (s *controlService) Hello(_ context.Context, r *wire.HelloRequest) (*wire.HelloResponse, error) {
+	if r.GetEntry().GetEntryId() == "" {
+		return nil, status.Error(codes.InvalidArgument, "Entry.EntryId is empty")
+	}
+	s.entries.hear(r.Entry, s.clock.Now())
+	v := s.view.Load()
+	return &wire.HelloResponse{
+		LeaderAddress: v.leader, Term: v.term, ConfigurationVersion: v.version,
+		Entries: s.entries.list(s.clock.Now()), Members: v.members,
+	}, nil
+}
+
+// FetchConfiguration gives the configuration applied here. A quorum-confirmed
+// one is what an entry needs that has none yet: a replica that lags would hand
+// it one from before a change that is in force already.
+func (s *controlService) FetchConfiguration(ctx context.Context, r *wire.FetchConfigurationRequest) (*wire.FetchConfigurationResponse, error) {
+	if err := s.started(); err != nil {
+		return nil, err
+	}
+	answer := &wire.FetchConfigurationResponse{}
+	read := func() { answer.Current = s.machine.Configuration() }
+	if r.QuorumConfirmed {
+		return answer, turned(s.node.Read(ctx, read))
+	}
+	return answer, turned(s.node.Do(ctx, read))
+}
+
+// RelayWorkers hears the workers that attend at one entry.
+func (s *controlService) RelayWorkers(stream grpc.BidiStreamingServer[wire.RelayWorkersRequest, wire.RelayWorkersResponse]) error {
+	if err := s.started(); err != nil {
+		return err
+	}
+	outgoing := make(chan *wire.WorkerAnswer, outgoingAnswers)
+	reply := func(a *wire.WorkerAnswer) {
+		select {
+		case outgoing <- a:
+		default:
+		}
+	}
+	received := make(chan error, 1)
+	go func() { received <- s.receiveReports(stream, reply) }()
+	ticker := s.clock.NewTicker(leaderCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case err := <-received:
+			return err
+		case <-s.closing:
+			return status.Error(codes.Unavailable, "stopping")
+		case <-ticker.Chan():
+			if !s.view.Load().leads {
+				return status.Error(codes.Unavailable, "not the leader")
+			}
+		case a := <-outgoing:
+			if err := stream.Send(&wire.RelayWorkersResponse{Answers: gather(a, outgoing)}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (s *controlService) receiveReports(stream grpc.BidiStreamingServer[wire.RelayWorkersRequest, wire.RelayWorkersResponse], reply func(*wire.WorkerAnswer)) error {
+	for {
+		r, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		s.node.Post(func() {
+			now := s.clock.Now()
+			for _, report := range r.Reports {
+				s.planner.Report(now, report, reply)
+			}
+		})
+	}
+}
+
+func gather(first *wire.WorkerAnswer, more chan *wire.WorkerAnswer) []*wire.WorkerAnswer {
+	answers := []*wire.WorkerAnswer{first}
+	for {
+		select {
+		case a := <-more:
+			answers = append(answers, a)
+		default:
+			return answers
+		}
+	}
+}
+
+// OpenDispatch records that a non-idempotent request is about to be sent.
+func (s *controlService) OpenDispatch(ctx context.Context, r *wire.OpenDispatchRequest) (*wire.OpenDispatchResponse, error) {
+	if err := s.started(); err != nil {
+		return nil, err
+	}
+	keep := s.clock.Now().Add(r.Timeout.AsDuration() + dispatchGrace)
+	result, err := s.node.Commit(ctx, &wire.Command{Body: &wire.Command_OpenDispatch{OpenDispatch: &wire.DispatchRecord{
+		ClientAccount: r.ClientAccount, RequestId: r.RequestId, EntryId: r.EntryId, Nonce: r.Nonce,
+		KeepUntil: timestamppb.New(keep),
+	}}})
+	return result.Dispatch, turned(err)
+}
+
+// CloseDispatch records how the request went.
+func (s *controlService) CloseDispatch(ctx context.Context, r *wire.CloseDispatchRequest) (*wire.CloseDispatchResponse, error) {
+	if err := s.started(); err != nil {
+		return nil, err
+	}
+	_, err := s.node.Commit(ctx, &wire.Command{Body: &wire.Command_CloseDispatch{CloseDispatch: &wire.CloseDispatch{
+		ClientAccount: r.ClientAccount, RequestId: r.RequestId, Nonce: r.Nonce, NotRun: r.NotRun,
+	}}})
+	return &wire.CloseDispatchResponse{}, turned(err)
+}
+
+// turned makes a status of the replica's errors. Unavailable means nothing was
+// done; Aborted means it may have been.
+func turned(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, node.ErrNotLeader), errors.Is(err, node.ErrStopped):
+		return status.Error(codes.Unavailable, notDone+err.Error())
+	case errors.Is(err, node.ErrUncertain):
+		return status.Error(codes.Aborted, err.Error())
+	}
+	if _, ok := status.FromError(err); ok {
+		return err
+	}
+	return status.FromContextError(err).Err()
+}
+
+func (t *entryTable) hear(e *wire.EntryStatus, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.entries == nil {
+		t.entries = map[string]heardEntry{}
+	}
+	t.entries[e.EntryId] = heardEntry{e, now}
+}
+
+// list returns the entries heard lately, in the order of their ids.
+func (t *entryTable) list(now time.Time) []*wire.EntryStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []*wire.EntryStatus
+	for id, e := range t.entries {
+		age := now.Sub(e.at)
+		if age > entryHeard {
+			delete(t.entries, id)
+			continue
+		}
+		s := proto.Clone(e.status).(*wire.EntryStatus)
+		s.HeardAgo = durationpb.New(age)
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].EntryId < list[j].EntryId })
+	return list
+}
--- /dev/null
+++ b/internal/run/entry/entry.go
@@ -0,0 +1,219 @@
+// This file defines Entry, its start and its stop.
+
+// Package entry is the entry process: it takes callers' requests, operators'
+// commands, the announcements of backend servers and the reports of workers.
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+
+	"sycamoredeck.example/internal/base/admin"
+	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/base/spans"
+	"sycamoredeck.example/internal/fleet/roster"
+	"sycamoredeck.example/internal/fleet/slots"
+	"sycamoredeck.example/internal/front/calls"
+	"sycamoredeck.example/internal/front/fence"
+	"sycamoredeck.example/internal/front/relay"
+	"sycamoredeck.example/internal/front/route"
+	"sycamoredeck.example/internal/front/uplink"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	// sweepInterval is how often evidence and waiting calls are looked at.
+	sweepInterval = 50 * time.Millisecond
+	// settling is the time within which the other entries have surely seen a
+	// change of entries: two hellos and some.
+	settling = time.Second
+	// messageOverhead is what a message may have beside its payload.
+	messageOverhead = 64 << 10
+	secondsInterval = time.Second
+)
+
+// Entry is one running entry process.
+type Entry struct {
+	settings *wire.EntrySettings
+	logger   *slog.Logger
+	clock    clockwork.Clock
+	pool     link.Pool
+	admin    admin.Server
+	uplink   *uplink.Uplink
+	relay    *relay.Relay
+	roster   *roster.Roster
+	calls    *calls.Calls
+	share    *sharer
+	server   *grpc.Server
+	health   *health.Server
+	divider  atomic.Pointer[slots.Divider]
+	draining atomic.Bool
+	closing  chan struct{}
+}
+
+// Run serves until the context ends, then finishes what is in flight.
+func Run(ctx context.Context, settings *wire.EntrySettings, logger *slog.Logger) error {
+	e := &Entry{settings: settings, logger: logger, clock: clockwork.NewRealClock(), closing: make(chan struct{})}
+	flush, err := spans.Start(ctx, "entry", settings.Common)
+	if err != nil {
+		return err
+	}
+	defer flush(context.WithoutCancel(ctx))
+	e.build()
+	listener, err := net.Listen("tcp", settings.Common.ListenAddress)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	if err := e.admin.Start(settings.Common.AdminAddress); err != nil {
+		return err
+	}
+	return e.serve(ctx, listener)
+}
+
+func (e *Entry) build() {
+	common := e.settings.Common
+	e.pool.Traced = common.TraceEndpoint != ""
+	e.divider.Store(&slots.Divider{})
+	address := common.AdvertiseAddress
+	if address == "" {
+		address = common.ListenAddress
+	}
+	e.uplink = uplink.New(uplink.Options{
+		Clock: e.clock, Logger: e.logger, Pool: &e.pool, Addresses: e.settings.ControlAddresses,
+		Self:           &wire.EntryStatus{EntryId: common.InstanceId, Address: address, FailureDomain: common.FailureDomain},
+		Configured:     func(v *wire.ConfigurationVersion) { e.calls.Configure(v) },
+		EntriesChanged: e.entriesChanged,
+	})
+	e.roster = roster.New(roster.Options{
+		Limit:   e.settings.EvidenceLimit.AsDuration(),
+		Changed: func(service string, usable []*wire.Announcement) { e.calls.Update(service, usable) },
+	})
+	e.calls = calls.New(calls.Options{
+		Clock: e.clock, Settings: e.settings, Roster: e.roster,
+		Fence: fence.New(common.InstanceId, e.uplink, e.clock),
+		Route: route.Options{
+			Clock: e.clock, FailureDomain: common.FailureDomain, QueueLength: int(e.settings.QueueLength),
+			Part: func(server string, slots uint32) int {
+				return e.divider.Load().Part(server, slots, e.clock.Now())
+			},
+			Entries: func() int { return len(e.divider.Load().Entries()) },
+		},
+	})
+	e.relay = relay.New(common.InstanceId, e.uplink, e.clock, e.logger)
+	e.share = &sharer{entry: e}
+	e.server, e.health = link.NewServer(int(e.settings.MaxPayloadBytes)+messageOverhead, e.pool.Traced)
+	wire.RegisterCallerServiceServer(e.server, e.calls)
+	wire.RegisterWorkerServiceServer(e.server, e.relay)
+	wire.RegisterAnnounceServiceServer(e.server, &announceService{Entry: e})
+	wire.RegisterEntryServiceServer(e.server, &entryService{Entry: e})
+	wire.RegisterJobServiceServer(e.server, &jobService{Entry: e})
+	wire.RegisterOperatorServiceServer(e.server, &operatorService{Entry: e})
+}
+
+// entriesChanged divides the slots anew, and again once the change has
+// settled.
+func (e *Entry) entriesChanged(ids []string) {
+	next := e.divider.Load().WithEntries(e.settings.Common.InstanceId, ids, e.clock.Now(), settling)
+	e.divider.Store(&next)
+	e.calls.Resize()
+}
+
+func (e *Entry) serve(ctx context.Context, listener net.Listener) error {
+	background, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, background := errgroup.WithContext(background)
+	group.Go(func() error { e.uplink.Run(background); return nil })
+	group.Go(func() error { e.relay.Run(background); return nil })
+	group.Go(func() error { e.share.run(background); return nil })
+	group.Go(func() error { e.sweep(background); return nil })
+	served := make(chan error, 1)
+	go func() { served <- e.server.Serve(listener) }()
+	select {
+	case <-ctx.Done():
+		e.drain()
+	case err := <-served:
+		cancel()
+		return trace.Wrap(err)
+	}
+	cancel()
+	err := group.Wait()
+	e.pool.Close()
+	e.admin.Close()
+	e.logger.Info("stopped")
+	return err
+}
+
+// drain stops without cutting anything off: the balancer is told first and
+// callers are still taken while it notices; then the port closes and what is
+// in flight is finished.
+func (e *Entry) drain() {
+	e.logger.Info("draining")
+	e.draining.Store(true)
+	e.setReady(false)
+	e.clock.Sleep(e.settings.Common.DrainDelay.AsDuration())
+	e.relay.Close()
+	close(e.closing)
+	stopped := make(chan struct{})
+	go func() {
+		e.server.GracefulStop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-e.clock.After(e.settings.Common.DrainTimeout.AsDuration()):
+		e.logger.Warn("calls in flight outlasted the drain timeout")
+		e.server.Stop()
+	}
+}
+
+// setReady tells the balancer, by HTTP and by gRPC.
+func (e *Entry) setReady(ready bool) {
+	if e.admin.Ready() == ready {
+		return
+	}
+	e.admin.SetReady(ready)
+	state := healthpb.HealthCheckResponse_NOT_SERVING
+	if ready {
+		state = healthpb.HealthCheckResponse_SERVING
+	}
+	e.health.SetServingStatus(link.ReadyService, state)
+	e.logger.Info("readiness changed", "ready", ready)
+}
+
+// sweep does what time alone makes due.
+func (e *Entry) sweep(ctx context.Context) {
+	ticker := e.clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	settled := true
+	lastSecond := e.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+		now := e.clock.Now()
+		e.roster.Sweep(now)
+		e.calls.Shed()
+		if s := e.divider.Load().Settled(now); s != settled {
+			settled = s
+			e.calls.Resize()
+		}
+		ready := e.uplink.Configuration() != nil && e.uplink.InTouch() && !e.draining.Load()
+		e.setReady(ready)
+		if now.Sub(lastSecond) >= secondsInterval {
+			lastSecond = now
+			e.uplink.CountTouch()
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/entry/hear.go
@@ -0,0 +1,163 @@
+// This file defines how entries hear backend servers and tell each other.
+
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	// shareInterval is how often an entry tells the others what it has heard;
+	// news goes out at once.
+	shareInterval = 300 * time.Millisecond
+	shareTimeout  = time.Second
+)
+
+type (
+	announceService struct {
+		wire.UnimplementedAnnounceServiceServer
+		*Entry
+	}
+
+	entryService struct {
+		wire.UnimplementedEntryServiceServer
+		*Entry
+	}
+
+	// sharer passes on what this entry has heard itself to each other entry.
+	// A slow or silent one holds up no other.
+	sharer struct {
+		entry *Entry
+		mu    sync.Mutex
+		busy  map[string]bool
+		news  chan struct{}
+		once  sync.Once
+	}
+)
+
+var (
+	_ wire.AnnounceServiceServer = (*announceService)(nil)
+	_ wire.EntryServiceServer    = (*entryService)(nil)
+)
+
+// Announce hears one backend server until its stream ends.
+func (s *announceService) Announce(stream grpc.BidiStreamingServer[wire.AnnounceRequest, wire.AnnounceResponse]) error {
+	received := make(chan error, 1)
+	go func() { received <- s.hear(stream) }()
+	select {
+	case err := <-received:
+		return err
+	case <-s.closing:
+		return status.Error(codes.Unavailable, "this entry is stopping")
+	}
+}
+
+func (s *announceService) hear(stream grpc.BidiStreamingServer[wire.AnnounceRequest, wire.AnnounceResponse]) error {
+	var last *wire.Announcement
+	for {
+		r, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if err := s.roster.Hear(s.clock.Now(), r.Announcement, 0, true); err != nil {
+			return status.Error(codes.InvalidArgument, err.Error())
+		}
+		if last == nil || last.Leaving != r.Announcement.Leaving {
+			s.share.hurry()
+		}
+		last = r.Announcement
+		if err := stream.Send(&wire.AnnounceResponse{}); err != nil {
+			return err
+		}
+	}
+}
+
+// ShareRoster takes what another entry has heard. What can't be right is
+// passed over, and the rest kept.
+func (s *entryService) ShareRoster(_ context.Context, r *wire.ShareRosterRequest) (*wire.ShareRosterResponse, error) {
+	now := s.clock.Now()
+	for _, h := range r.Heard {
+		if age := h.GetAge().AsDuration(); age >= 0 {
+			_ = s.roster.Hear(now, h.Announcement, age, false) // counted there
+		}
+	}
+	return &wire.ShareRosterResponse{}, nil
+}
+
+func (s *sharer) signal() chan struct{} {
+	s.once.Do(func() { s.news = make(chan struct{}, 1) })
+	return s.news
+}
+
+// hurry shares at once instead of at the next interval.
+func (s *sharer) hurry() {
+	select {
+	case s.signal() <- struct{}{}:
+	default:
+	}
+}
+
+func (s *sharer) run(ctx context.Context) {
+	ticker := s.entry.clock.NewTicker(shareInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		case <-s.signal():
+		}
+		heard := s.entry.roster.Direct(s.entry.clock.Now())
+		if len(heard) == 0 {
+			continue
+		}
+		request := &wire.ShareRosterRequest{EntryId: s.entry.settings.Common.InstanceId, Heard: heard}
+		for _, e := range s.entry.uplink.Entries() {
+			if e.EntryId != request.EntryId && s.begin(e.Address) {
+				go s.send(ctx, e.Address, request)
+			}
+		}
+	}
+}
+
+func (s *sharer) begin(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy[address] {
+		return false
+	}
+	if s.busy == nil {
+		s.busy = map[string]bool{}
+	}
+	s.busy[address] = true
+	return true
+}
+
+func (s *sharer) send(ctx context.Context, address string, r *wire.ShareRosterRequest) {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.busy, address)
+	}()
+	conn, err := s.entry.pool.Conn(address)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	// Lost news are followed by newer ones within the interval.
+	_, _ = wire.NewEntryServiceClient(conn).ShareRoster(ctx, r)
+}
--- /dev/null
+++ b/internal/sched/plan/health.go
@@ -0,0 +1,119 @@
+// This file defines how workers that fail everything are told from jobs that
+// fail everywhere.
+
+package plan
+
+import (
+	"fmt"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	// quarantineFailures is how many different jobs a worker must fail in a
+	// row, with no success between, to be put aside.
+	quarantineFailures = 3
+)
+
+type (
+	// kindRecord counts how a job kind's attempts ended, over all workers.
+	kindRecord struct {
+		finished, failed float64
+	}
+
+	// streak is a worker's failures since its last success.
+	streak struct {
+		jobs map[string]bool
+		// expected is how many of them their job kinds would have failed on
+		// any worker.
+		expected float64
+	}
+
+	health struct {
+		kinds   map[string]*kindRecord
+		streaks map[string]*streak
+		// failedOn holds the workers that a queued job failed on.
+		failedOn map[string]map[string]bool
+	}
+)
+
+func newHealth() *health {
+	return &health{kinds: map[string]*kindRecord{}, streaks: map[string]*streak{}, failedOn: map[string]map[string]bool{}}
+}
+
+// failureRate is the part of a kind's attempts that fail, leaning to 10% while
+// little is known.
+func (h *health) failureRate(kind string) float64 {
+	k := h.kinds[kind]
+	if k == nil {
+		return 0.1
+	}
+	return (k.failed + 0.5) / (k.failed + k.finished + 5)
+}
+
+func (h *health) finished(worker, kind, job string) {
+	h.kindOf(kind).finished++
+	delete(h.streaks, worker)
+	delete(h.failedOn, job)
+}
+
+// failed notes a failure and tells whether the worker's streak is beyond what
+// its job kinds explain.
+func (h *health) failed(worker, kind, job string) bool {
+	s := h.streaks[worker]
+	if s == nil {
+		s = &streak{jobs: map[string]bool{}}
+		h.streaks[worker] = s
+	}
+	if !s.jobs[job] {
+		s.expected += h.failureRate(kind)
+	}
+	s.jobs[job] = true
+	h.kindOf(kind).failed++
+	if h.failedOn[job] == nil {
+		h.failedOn[job] = map[string]bool{}
+	}
+	h.failedOn[job][worker] = true
+	return len(s.jobs) >= quarantineFailures && float64(len(s.jobs)) > 2*s.expected
+}
+
+func (h *health) kindOf(kind string) *kindRecord {
+	k := h.kinds[kind]
+	if k == nil {
+		k = &kindRecord{}
+		h.kinds[kind] = k
+	}
+	return k
+}
+
+func (p *Planner) noteEnd(worker string, j *wire.Job, t *wire.TaskReport) {
+	kind := j.Spec.ClientAccount + "/" + j.Spec.JobKind
+	switch t.State {
+	case wire.TaskState_TASK_STATE_FINISHED:
+		p.health.finished(worker, kind, j.JobId)
+	case wire.TaskState_TASK_STATE_FAILED:
+		if p.health.failed(worker, kind, j.JobId) {
+			p.quarantine(worker)
+		}
+		if state.Ended(j) {
+			delete(p.health.failedOn, j.JobId)
+		}
+	default:
+	}
+}
+
+func (p *Planner) quarantine(worker string) {
+	known := p.options.Machine.Worker(worker)
+	if known == nil || known.Record.QuarantineReason != "" {
+		return
+	}
+	reason := fmt.Sprintf("failed %d jobs in a row", len(p.health.streaks[worker].jobs))
+	command := &wire.Command{Body: &wire.Command_Quarantine{Quarantine: &wire.Quarantine{WorkerId: worker, Reason: reason}}}
+	p.options.Propose(command, func(r state.Result, err error) {
+		if err == nil && r.Err == nil {
+			quarantineTotal.Inc()
+			p.options.Logger.Warn("worker quarantined", "worker", worker, "reason", reason)
+		}
+	})
+}
--- /dev/null
+++ b/internal/sched/plan/place.go
@@ -0,0 +1,324 @@
+// This file defines the placement pass: which job is next, and where it goes.
+
+package plan
+
+import (
+	"sort"
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	// maxBatch bounds the placements of one command.
+	maxBatch = 512
+	// maxSkipped is how many jobs of an account that fit nowhere are passed
+	// over in one pass before the account waits.
+	maxSkipped = 16
+	// A job that failed waits firstBackoff before its next attempt, doubled
+	// for each further failure up to maxBackoff.
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = 30 * time.Second
+	maxDoublings = 9
+)
+
+type (
+	// Candidate is a worker that has room for a job.
+	Candidate struct {
+		Job    *wire.Job
+		Worker *state.Worker
+		// Free is what is left before the job is placed.
+		Free, Capacity, Need state.Amount
+		// FailedHere tells that an earlier attempt failed on this worker.
+		FailedHere bool
+		// Siblings is the number of the same account's standing tasks in the
+		// worker's failure domain, for standing jobs.
+		Siblings int
+	}
+
+	claimant struct {
+		name    string
+		share   float64
+		skipped int
+		jobs    []*wire.Job
+	}
+)
+
+// Spread prefers the worker with most left in its scarcest resource, keeps
+// standing tasks of an account apart, and avoids where the job failed.
+func Spread(c Candidate) float64 {
+	left := c.Free.WithOut(c.Need)
+	score := 1 - c.Capacity.WithOut(left).DominantShare(c.Capacity)
+	if c.FailedHere {
+		score -= 10
+	}
+	return score - float64(c.Siblings)
+}
+
+// Pack prefers the worker with least left. It is the baseline to Spread.
+func Pack(c Candidate) float64 {
+	left := c.Free.WithOut(c.Need)
+	return c.Capacity.WithOut(left).DominantShare(c.Capacity)
+}
+
+// placePass places what has room, the account with the smallest weighted
+// dominant share first (Ghodsi et al., NSDI 2011), urgent jobs before all.
+func (p *Planner) placePass(now time.Time) {
+	whole := p.usable(now)
+	if len(whole.workers) == 0 {
+		return
+	}
+	claimants := p.claimants(now, whole.total)
+	var batch []*wire.Placement
+	for len(claimants) > 0 && len(batch) < maxBatch {
+		i := neediest(claimants)
+		c := claimants[i]
+		j := c.jobs[0]
+		c.jobs = c.jobs[1:]
+		if placement := p.placeOne(whole, j); placement != nil {
+			batch = append(batch, placement)
+			c.share = p.weightedShare(c.name, whole.total)
+		} else {
+			c.skipped++
+		}
+		if len(c.jobs) == 0 || c.skipped >= maxSkipped {
+			claimants = append(claimants[:i], claimants[i+1:]...)
+		}
+	}
+	if len(batch) > 0 {
+		p.proposePlacements(batch)
+	}
+}
+
+type usableWorkers struct {
+	workers []*state.Worker
+	total   state.Amount
+}
+
+// usable lists the workers that hold a lease and may take work.
+func (p *Planner) usable(now time.Time) usableWorkers {
+	var u usableWorkers
+	for id, w := range p.options.Machine.Workers() {
+		u.total = u.total.With(state.AmountOf(w.Record.Worker.Capacity))
+		if w.Record.QuarantineReason != "" || p.losing[id] || !p.leases.Held(id, w.Record.Worker.Incarnation, now) {
+			continue
+		}
+		u.workers = append(u.workers, w)
+	}
+	sort.Slice(u.workers, func(i, k int) bool {
+		return u.workers[i].Record.Worker.WorkerId < u.workers[k].Record.Worker.WorkerId
+	})
+	return u
+}
+
+func (p *Planner) claimants(now time.Time, total state.Amount) []*claimant {
+	var claimants []*claimant
+	for _, name := range p.options.Machine.Accounts() {
+		c := &claimant{name: name, share: p.weightedShare(name, total)}
+		p.options.Machine.Queued(name, func(j *wire.Job) bool {
+			if _, busy := p.pending[j.JobId]; !busy && !waits(j, now) {
+				c.jobs = append(c.jobs, j)
+			}
+			return len(c.jobs) < maxBatch
+		})
+		if len(c.jobs) > 0 {
+			claimants = append(claimants, c)
+		}
+	}
+	return claimants
+}
+
+// neediest picks the account to serve next: one with an urgent job if there
+// is any, then the smallest share.
+func neediest(claimants []*claimant) int {
+	best := 0
+	for i, c := range claimants {
+		b := claimants[best]
+		urgent, bestUrgent := c.jobs[0].Spec.Urgent, b.jobs[0].Spec.Urgent
+		if urgent != bestUrgent {
+			if urgent {
+				best = i
+			}
+			continue
+		}
+		if c.share < b.share {
+			best = i
+		}
+	}
+	return best
+}
+
+func (p *Planner) weightedShare(account string, total state.Amount) float64 {
+	weight := p.options.Machine.Account(account).GetShare()
+	if weight <= 0 {
+		weight = 1
+	}
+	return p.options.Machine.Used(account).With(p.claimed[account]).DominantShare(total) / weight
+}
+
+// waits tells whether a job's back-off still runs.
+func waits(j *wire.Job, now time.Time) bool {
+	if j.Failures == 0 || j.EndedAt == nil {
+		return false
+	}
+	delay := min(firstBackoff<<min(j.Failures-1, maxDoublings), maxBackoff)
+	return now.Before(j.EndedAt.AsTime().Add(delay))
+}
+
+func (p *Planner) placeOne(u usableWorkers, j *wire.Job) *wire.Placement {
+	need := state.AmountOf(j.Spec.Resources)
+	account := j.Spec.ClientAccount
+	quota := state.AmountOf(p.options.Machine.Account(account).GetQuota())
+	if !p.options.Machine.Used(account).With(p.claimed[account]).With(need).FitsQuota(quota) {
+		return nil
+	}
+	w := p.choose(u, j, need)
+	if w == nil {
+		if j.Spec.Urgent {
+			p.preempt(u, need)
+		}
+		return nil
+	}
+	id := w.Record.Worker.WorkerId
+	p.pending[j.JobId] = pendingPlacement{worker: id, account: account, need: need}
+	p.taken[id] = p.taken[id].With(need)
+	p.claimed[account] = p.claimed[account].With(need)
+	return &wire.Placement{
+		JobId: j.JobId, Attempt: j.Attempt + 1, WorkerId: id,
+		WorkerIncarnation: w.Record.Worker.Incarnation,
+	}
+}
+
+func (p *Planner) choose(u usableWorkers, j *wire.Job, need state.Amount) *state.Worker {
+	var best *state.Worker
+	var bestScore float64
+	siblings := p.siblings(u, j)
+	for _, w := range u.workers {
+		free := p.free(w)
+		if !need.Fits(free) {
+			continue
+		}
+		score := p.options.Score(Candidate{
+			Job: j, Worker: w, Free: free, Need: need,
+			Capacity:   state.AmountOf(w.Record.Worker.Capacity),
+			FailedHere: p.health.failedOn[j.JobId][w.Record.Worker.WorkerId],
+			Siblings:   siblings[w.Record.Worker.FailureDomain],
+		})
+		if best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+func (p *Planner) free(w *state.Worker) state.Amount {
+	capacity := state.AmountOf(w.Record.Worker.Capacity)
+	return capacity.WithOut(w.Committed).WithOut(p.taken[w.Record.Worker.WorkerId])
+}
+
+// siblings counts an account's standing tasks by failure domain, so that the
+// loss of one domain doesn't stop them all.
+func (p *Planner) siblings(u usableWorkers, j *wire.Job) map[string]int {
+	if j.Class != wire.JobClass_JOB_CLASS_STANDING {
+		return nil
+	}
+	counts := map[string]int{}
+	for _, w := range u.workers {
+		for _, t := range w.Tasks {
+			if t.Class == j.Class && t.Spec.ClientAccount == j.Spec.ClientAccount {
+				counts[w.Record.Worker.FailureDomain]++
+			}
+		}
+	}
+	return counts
+}
+
+// preempt orders the eviction of the youngest tasks that aren't urgent, from
+// the worker where the fewest have to go. They stop at a checkpoint and resume
+// elsewhere; the urgent job is placed once they have.
+func (p *Planner) preempt(u usableWorkers, need state.Amount) {
+	var victims []*wire.Job
+	for _, w := range u.workers {
+		chosen, ok := p.victims(w, need)
+		if !ok {
+			continue
+		}
+		if len(chosen) == 0 {
+			return // enough is on its way out already
+		}
+		if victims == nil || len(chosen) < len(victims) {
+			victims = chosen
+		}
+	}
+	for _, j := range victims {
+		p.evicting[j.JobId] = j.Attempt
+		evictionsTotal.Inc()
+		p.sendOrder(j, &wire.TaskOrder{Kind: wire.OrderKind_ORDER_KIND_STOP, JobId: j.JobId, Attempt: j.Attempt})
+	}
+}
+
+func (p *Planner) victims(w *state.Worker, need state.Amount) ([]*wire.Job, bool) {
+	free := p.free(w)
+	var tasks []*wire.Job
+	for _, j := range w.Tasks {
+		if p.mustStop(j) {
+			free = free.With(state.AmountOf(j.Spec.Resources))
+		} else if !j.Spec.Urgent && j.Class != wire.JobClass_JOB_CLASS_STANDING {
+			tasks = append(tasks, j)
+		}
+	}
+	sort.Slice(tasks, func(i, k int) bool {
+		return tasks[i].StartedAt.AsTime().After(tasks[k].StartedAt.AsTime())
+	})
+	var chosen []*wire.Job
+	for _, j := range tasks {
+		if need.Fits(free) {
+			break
+		}
+		free = free.With(state.AmountOf(j.Spec.Resources))
+		chosen = append(chosen, j)
+	}
+	return chosen, need.Fits(free)
+}
+
+func (p *Planner) proposePlacements(batch []*wire.Placement) {
+	since := p.since
+	command := &wire.Command{Body: &wire.Command_PlaceTasks{PlaceTasks: &wire.PlaceTasks{Placements: batch}}}
+	p.options.Propose(command, func(r state.Result, err error) {
+		if !p.since.Equal(since) {
+			return
+		}
+		for i, placement := range batch {
+			p.settle(placement.JobId)
+			if err != nil {
+				continue
+			}
+			if r.Placed[i] != nil {
+				refusedTotal.Inc()
+				continue
+			}
+			placedTotal.Inc()
+			j := p.options.Machine.Job(placement.JobId)
+			p.sendOrder(j, startOrder(j))
+		}
+		p.dirty = true
+	})
+}
+
+// settle takes a placement out of the sums of what is pending.
+func (p *Planner) settle(job string) {
+	pending := p.pending[job]
+	delete(p.pending, job)
+	p.taken[pending.worker] = p.taken[pending.worker].WithOut(pending.need)
+	p.claimed[pending.account] = p.claimed[pending.account].WithOut(pending.need)
+}
+
+// sendOrder sends an order at once, ahead of the worker's next report.
+func (p *Planner) sendOrder(j *wire.Job, order *wire.TaskOrder) {
+	a := p.workers[j.WorkerId]
+	if a == nil || a.report.Worker.Incarnation != j.WorkerIncarnation {
+		return
+	}
+	p.answer(a, nil, []*wire.TaskOrder{order})
+}
--- /dev/null
+++ b/internal/store/peers/found.go
@@ -0,0 +1,175 @@
+// This file defines how a cluster is founded and how replicas are told apart.
+
+package peers
+
+import (
+	"context"
+	"encoding/binary"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc"
+
+	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	identifyTimeout = time.Second
+	foundInterval   = 200 * time.Millisecond
+	// waitingFor is how long a replica that asked to be let in is listed.
+	waitingFor = 10 * time.Second
+)
+
+// Founder answers who this replica is and finds out which cluster it belongs
+// to.
+//
+// A replica whose disk was lost must not vote under its old identity: it has
+// forgotten votes and records that it promised, and with it a majority could
+// form that never saw a committed record. So each replica draws a random
+// identity when its folder is new, the membership lists identities and not
+// names, and a new folder founds a cluster only if every founding member
+// answers that it is new too.
+type Founder struct {
+	Self    *wire.ControlMember
+	Members []*wire.ControlMember // founding members; their ids aren't known
+	Pool    *link.Pool
+
+	mu         sync.Mutex
+	membership *wire.Membership
+	waiting    map[uint64]waitingReplica
+}
+
+type waitingReplica struct {
+	member *wire.ControlMember
+	heard  time.Time
+}
+
+// SetMembership tells the founder the membership now in force.
+func (f *Founder) SetMembership(m *wire.Membership) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.membership = m
+}
+
+// Identify answers another replica and notes it if it waits to be let in.
+func (f *Founder) Identify(r *wire.IdentifyRequest) *wire.IdentifyResponse {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if from := r.GetFrom(); from.GetReplicaId() != 0 && f.membership != nil && !lists(f.membership, from.ReplicaId) {
+		if f.waiting == nil {
+			f.waiting = map[uint64]waitingReplica{}
+		}
+		f.waiting[from.ReplicaId] = waitingReplica{from, time.Now()}
+	}
+	return &wire.IdentifyResponse{Self: f.Self, Founding: f.membership}
+}
+
+// Waiting lists the replicas that lately asked and aren't members.
+func (f *Founder) Waiting() []*wire.ControlMember {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var members []*wire.ControlMember
+	for id, w := range f.waiting {
+		if time.Since(w.heard) > waitingFor || lists(f.membership, id) {
+			delete(f.waiting, id)
+			continue
+		}
+		members = append(members, w.member)
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Name < members[j].Name })
+	return members
+}
+
+// Found blocks until this replica knows its cluster and returns the membership
+// to start from. That lists no members if this replica has to be let in first.
+func (f *Founder) Found(ctx context.Context) (*wire.Membership, error) {
+	for {
+		if m := f.tryFound(ctx); m != nil {
+			return m, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(foundInterval):
+		}
+	}
+}
+
+func (f *Founder) tryFound(ctx context.Context) *wire.Membership {
+	founding := []*wire.ControlMember{voter(f.Self)}
+	for _, m := range f.Members {
+		if m.Address == f.Self.Address {
+			continue
+		}
+		answer := f.ask(ctx, m.Address)
+		if answer.GetFounding() != nil {
+			return joining(answer.Founding, f.Self.ReplicaId)
+		}
+		if answer != nil {
+			founding = append(founding, voter(answer.Self))
+		}
+	}
+	if len(founding) < len(f.Members) {
+		return nil // the silent ones may have state
+	}
+	sort.Slice(founding, func(i, j int) bool { return founding[i].Name < founding[j].Name })
+	return &wire.Membership{Members: founding, ClusterId: clusterID(founding)}
+}
+
+// Announce tells the founding members that this replica waits to be let in,
+// so that an operator sees it.
+func (f *Founder) Announce(ctx context.Context) {
+	for _, m := range f.Members {
+		if m.Address != f.Self.Address {
+			f.ask(ctx, m.Address)
+		}
+	}
+}
+
+func (f *Founder) ask(ctx context.Context, address string) *wire.IdentifyResponse {
+	conn, err := f.Pool.Conn(address)
+	if err != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, identifyTimeout)
+	defer cancel()
+	answer, err := wire.NewPeerServiceClient(conn).Identify(ctx, &wire.IdentifyRequest{From: f.Self}, grpc.WaitForReady(true))
+	if err != nil {
+		return nil
+	}
+	return answer
+}
+
+// joining is what a new folder starts from beside an existing cluster: the
+// whole membership if it lists this identity, else only the cluster's id.
+func joining(m *wire.Membership, id uint64) *wire.Membership {
+	if lists(m, id) {
+		return m
+	}
+	return &wire.Membership{ClusterId: m.ClusterId}
+}
+
+func lists(m *wire.Membership, id uint64) bool {
+	for _, member := range m.GetMembers() {
+		if member.ReplicaId == id {
+			return true
+		}
+	}
+	return false
+}
+
+func voter(m *wire.ControlMember) *wire.ControlMember {
+	return &wire.ControlMember{Name: m.Name, Address: m.Address, ReplicaId: m.ReplicaId, Voter: true}
+}
+
+func clusterID(members []*wire.ControlMember) uint64 {
+	var data []byte
+	for _, m := range members {
+		data = append(data, m.Name...)
+		data = binary.LittleEndian.AppendUint64(data, m.ReplicaId)
+	}
+	return xxhash.Sum64(data)
+}
--- /dev/null
+++ b/internal/store/quorum/core.go
@@ -0,0 +1,234 @@
+// This file defines Core, its construction and what it hands to its driver.
+
+// Package quorum is a replicated log: the rules by which control replicas
+// agree on one order of records, without disk, network or clock.
+//
+// It follows Ongaro and Ousterhout, "In Search of an Understandable Consensus
+// Algorithm" (2014), with pre-vote, check-quorum, learners, one change of
+// membership at a time, and a round number on each heartbeat that confirms
+// leadership for reads and leases. Core is driven by one goroutine: it takes
+// messages, ticks and proposals, and Take gives what is to be synced, sent and
+// applied. The same inputs always give the same outputs, so that whole
+// clusters can be run in one process under seeded schedules.
+package quorum
+
+import (
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	// maxBatchRecords and maxBatchBytes bound one append message, so that a
+	// replica that is far behind is fed in parts that heartbeats fit between.
+	maxBatchRecords = 2048
+	maxBatchBytes   = 1 << 20
+	// maxInFlight bounds the records sent to a replica that hasn't answered.
+	maxInFlight = 16384
+)
+
+type (
+	// Role is the part a replica plays in its term.
+	Role int
+
+	// Options are fixed for the life of a Core. ID must not be 0.
+	Options struct {
+		ID             uint64
+		ElectionTicks  int
+		HeartbeatTicks int
+		// Random gives a number in [0,n); it spreads election timeouts.
+		Random func(n int) int
+	}
+
+	// Durable is what a replica has on its disk when it starts.
+	Durable struct {
+		Vote     *wire.Vote
+		Snapshot *wire.Snapshot
+		Records  []*wire.LogRecord
+	}
+
+	// Output is what the driver has to do, in this order: send Early, sync
+	// Vote, Snapshot and Records, call Synced, send Messages, restore
+	// Snapshot, apply Committed.
+	Output struct {
+		Vote     *wire.Vote
+		Snapshot *wire.Snapshot
+		Records  []*wire.LogRecord
+		// Early holds the leader's appends: they promise nothing about its
+		// own disk, so they may leave while it is being synced.
+		Early     []*wire.PeerMessage
+		Messages  []*wire.PeerMessage
+		Committed []*wire.LogRecord
+	}
+
+	progress struct {
+		match, next  uint64
+		round        uint64
+		recentActive bool
+	}
+
+	// Core is one replica's view of the log. It isn't safe for concurrent use.
+	Core struct {
+		options Options
+		role    Role
+		term    uint64
+		votedFor,
+		leader uint64
+
+		records  []*wire.LogRecord // those after the snapshot
+		snapshot *wire.Snapshot
+		members  *wire.Membership
+		// memberIndex is the position that members came from.
+		memberIndex uint64
+
+		commit, applied, synced uint64
+
+		peers map[uint64]*progress
+		votes map[uint64]bool
+		round uint64
+		// handover is the replica that leadership is being handed to, or 0.
+		handover      uint64
+		handoverTicks int
+
+		electionElapsed, heartbeatElapsed, electionLimit int
+
+		voteDirty       bool
+		installed       *wire.Snapshot
+		firstUnsynced   uint64
+		early, messages []*wire.PeerMessage
+	}
+)
+
+// The roles a replica plays.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// String names the role for status pages and logs.
+func (r Role) String() string {
+	switch r {
+	case PreCandidate:
+		return "pre-candidate"
+	case Candidate:
+		return "candidate"
+	case Leader:
+		return "leader"
+	default:
+		return "follower"
+	}
+}
+
+// New returns the replica that the durable state describes, as a follower.
+func New(options Options, durable Durable) *Core {
+	c := &Core{
+		options:  options,
+		records:  durable.Records,
+		snapshot: durable.Snapshot,
+		peers:    map[uint64]*progress{},
+	}
+	if durable.Vote != nil {
+		c.term, c.votedFor = durable.Vote.Term, durable.Vote.VotedFor
+	}
+	if c.snapshot == nil {
+		c.snapshot = &wire.Snapshot{Membership: &wire.Membership{}}
+	}
+	c.commit, c.applied = c.snapshot.Index, c.snapshot.Index
+	c.synced = c.LastIndex()
+	c.firstUnsynced = c.synced + 1
+	c.refreshMembers()
+	c.becomeFollower(c.term, 0)
+	return c
+}
+
+// Take gives all that has become due since the last call.
+func (c *Core) Take() Output {
+	out := Output{Snapshot: c.installed, Early: c.early, Messages: c.messages}
+	if c.voteDirty {
+		out.Vote = &wire.Vote{Term: c.term, VotedFor: c.votedFor, ReplicaId: c.options.ID}
+	}
+	if c.firstUnsynced <= c.LastIndex() {
+		out.Records = append(out.Records, c.slice(c.firstUnsynced, c.LastIndex())...)
+	}
+	if c.applied < c.commit {
+		out.Committed = append(out.Committed, c.slice(c.applied+1, c.commit)...)
+		c.applied = c.commit
+	}
+	c.voteDirty, c.installed, c.early, c.messages = false, nil, nil, nil
+	c.firstUnsynced = c.LastIndex() + 1
+	return out
+}
+
+// Synced says that the output's records are on disk. Only from then on does a
+// leader count itself among those that hold them.
+func (c *Core) Synced(out Output) {
+	if len(out.Records) == 0 {
+		return
+	}
+	last := out.Records[len(out.Records)-1]
+	if c.termAt(last.Index) != last.Term {
+		return // replaced meanwhile by records of another leader
+	}
+	c.synced = max(c.synced, last.Index)
+	if c.role == Leader {
+		c.advanceCommit()
+	}
+}
+
+// Compact drops the records that the snapshot covers. The snapshot must hold
+// the state at a position already applied.
+func (c *Core) Compact(s *wire.Snapshot) {
+	if s.Index <= c.snapshot.Index {
+		return
+	}
+	kept := c.slice(s.Index+1, c.LastIndex())
+	c.records = append([]*wire.LogRecord(nil), kept...)
+	c.snapshot = s
+}
+
+// Status is a view of a replica for its driver and for operators.
+type Status struct {
+	Role                    Role
+	Term, Leader            uint64
+	Commit, Applied, Synced uint64
+	FirstIndex, LastIndex   uint64
+	// Round is the last heartbeat round sent; ConfirmedRound the last one
+	// that a quorum of voters has answered.
+	Round, ConfirmedRound uint64
+	HandingOver           bool
+}
+
+// Status returns the present view.
+func (c *Core) Status() Status {
+	return Status{
+		Role: c.role, Term: c.term, Leader: c.leader,
+		Commit: c.commit, Applied: c.applied, Synced: c.synced,
+		FirstIndex: c.snapshot.Index + 1, LastIndex: c.LastIndex(),
+		Round: c.round, ConfirmedRound: c.confirmedRound(), HandingOver: c.handover != 0,
+	}
+}
+
+// LastIndex is the position of the last record held.
+func (c *Core) LastIndex() uint64 {
+	return c.snapshot.Index + uint64(len(c.records))
+}
+
+func (c *Core) slice(from, to uint64) []*wire.LogRecord {
+	base := c.snapshot.Index + 1
+	if from > to {
+		return nil
+	}
+	return c.records[from-base : to-base+1]
+}
+
+// termAt returns the term of the record at index, or 0 when it isn't held.
+func (c *Core) termAt(index uint64) uint64 {
+	switch {
+	case index == c.snapshot.Index:
+		return c.snapshot.Term
+	case index < c.snapshot.Index || index > c.LastIndex():
+		return 0
+	default:
+		return c.records[index-c.snapshot.Index-1].Term
+	}
+}
