Replicated log: thousands of seeded schedules, checked with porcupine

Change: a simulation of whole clusters in one process; invariants (one leader a term, one record a position, nothing promised that isn't on disk) and linearizability of compare-and-set and confirmed reads. Seen failing first, on scratch copies with one mechanism switched off: commit before own sync, commit of an old term by counting, vote not saved, two changes of membership at once, unconfirmed reads, any log winning a vote, no pre-vote, no check-quorum. Each is caught. First runs failed over a fault of the test itself: writes still open at the end were left out of the history.

--- /dev/null
+++ b/internal/store/quorum/quorum_test.go
@@ -0,0 +1,261 @@
+// This file defines the tests of the replicated log.
+
+package quorum_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/quorum"
+)
+
+const (
+	seedsPerCase = 400
+	stepsPerSeed = 1500
+)
+
+func assertSound(t *testing.T, seed uint64, s *sim) {
+	t.Helper()
+	assert.Assert(t, len(s.broken) == 0, "seed %d: %v", seed, s.broken)
+	assert.Assert(t, s.linearizable(), "seed %d: the history isn't linearizable", seed)
+}
+
+// Symptom: operators see a configuration revert, or two of them are both told
+// that they won. Sequence: replicas crash between any two steps of a turn and
+// lose what wasn't synced; messages are lost, doubled, late and out of order;
+// links are cut one way; leaders hand over; members are replaced. Cause, where
+// it fails: a vote or record promised before it was on disk, a commitment
+// counted over the wrong majority, or a read by a leader of the past.
+func TestClusterUnderFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		size   int
+		faults simFaults
+	}{
+		{"crashes", 3, simFaults{crash: 0.004, restart: 0.05}},
+		{"network", 3, simFaults{cut: 0.02, heal: 0.01, drop: 0.05, duplicate: 0.02}},
+		{"snapshots", 3, simFaults{crash: 0.004, restart: 0.05, drop: 0.05, cut: 0.01, heal: 0.01, snapshot: 0.02}},
+		{"members", 3, simFaults{crash: 0.002, restart: 0.05, drop: 0.02, snapshot: 0.01, replace: 0.05}},
+		{"everything", 5, simFaults{crash: 0.003, restart: 0.05, cut: 0.02, heal: 0.01, drop: 0.05, duplicate: 0.02, snapshot: 0.02, replace: 0.03, handover: 0.01}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			operations := 0
+			for seed := range uint64(seedsPerCase) {
+				s := newSim(seed, c.size, c.faults)
+				s.run(stepsPerSeed)
+				assertSound(t, seed, s)
+				operations += len(s.operations)
+			}
+			assert.Assert(t, operations > seedsPerCase*10, "only %d operations: the schedules stop the cluster", operations)
+		})
+	}
+}
+
+// The simulation must be able to find a broken disk: here a crash loses synced
+// records as well.
+func TestSimulationFindsLostRecords(t *testing.T) {
+	found := 0
+	for seed := range uint64(40) {
+		s := newSim(seed, 3, simFaults{crash: 0.01, restart: 0.05})
+		s.forgetful = true
+		s.run(stepsPerSeed)
+		if len(s.broken) > 0 || !s.linearizable() {
+			found++
+		}
+	}
+	assert.Assert(t, found > 0)
+}
+
+// Symptom: after faults end the cluster stays without a leader or replicas
+// differ for good. Every schedule must come to rest.
+func TestClusterComesToRest(t *testing.T) {
+	for seed := range uint64(60) {
+		s := newSim(seed, 3, simFaults{crash: 0.004, restart: 0.05, cut: 0.02, heal: 0.01, drop: 0.05, snapshot: 0.02})
+		s.run(stepsPerSeed)
+		s.settle()
+		assertSound(t, seed, s)
+		var applied, leaders uint64
+		for _, r := range s.replicas {
+			applied = max(applied, r.applied)
+			if r.core.Status().Role == quorum.Leader {
+				leaders++
+			}
+		}
+		assert.Equal(t, leaders, uint64(1), "seed %d", seed)
+		for id, r := range s.replicas {
+			assert.Assert(t, r.applied+5 >= applied, "seed %d: replica %d applied %d of %d", seed, id, r.applied, applied)
+		}
+	}
+}
+
+func newTestCluster(t *testing.T) *sim {
+	t.Helper()
+	s := newSim(3, 3, simFaults{})
+	s.settle()
+	return s
+}
+
+func leaderOf(t *testing.T, s *sim) *simReplica {
+	t.Helper()
+	for _, r := range s.replicas {
+		if r.core.Status().Role == quorum.Leader {
+			return r
+		}
+	}
+	t.Fatal("no leader")
+	return nil
+}
+
+// Symptom: a replica that was cut off for hours comes back and the leader that
+// served all the while is deposed. Sequence: cut off, its election timer fires
+// again and again; reconnected, its messages bear a high term. Cause: terms
+// raised without asking whether an election could be won. Pre-vote prevents it.
+func TestIsolatedReplicaDoesNotDisturb(t *testing.T) {
+	s := newTestCluster(t)
+	leader := leaderOf(t, s)
+	term := leader.core.Status().Term
+	var isolated *simReplica
+	for _, r := range s.replicas {
+		if r != leader {
+			isolated = r
+		}
+	}
+	for range 10000 {
+		isolated.core.Tick()
+		isolated.core.Take() // all it says is lost
+	}
+	assert.Equal(t, isolated.core.Status().Term, term)
+	s.settle()
+	assert.Equal(t, leaderOf(t, s).id, leader.id)
+	assert.Equal(t, leader.core.Status().Term, term)
+}
+
+// Symptom: an isolated leader answers for hours from a past that has moved on.
+// Check-quorum makes it step down within an election timeout or two.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	s := newTestCluster(t)
+	leader := leaderOf(t, s)
+	for range 25 {
+		leader.core.Tick()
+		leader.core.Take()
+	}
+	assert.Assert(t, leader.core.Status().Role != quorum.Leader)
+}
+
+// Symptom: a committed record is gone after a disk was lost. Sequence: a
+// replica that acknowledged a record loses its disk and votes again under its
+// name; with it a majority forms that never saw the record. Cause: identity by
+// name. A new disk draws a new identity, and nothing sent to the old one or by
+// a stranger counts.
+func TestNewDiskHasNoVote(t *testing.T) {
+	s := newTestCluster(t)
+	leader := leaderOf(t, s)
+	stranger := quorum.New(quorum.Options{ID: 99, ElectionTicks: 10, HeartbeatTicks: 2, Random: func(int) int { return 0 }},
+		quorum.Durable{Snapshot: &wire.Snapshot{Membership: &wire.Membership{ClusterId: 9}}})
+	for range 100 {
+		stranger.Tick()
+	}
+	assert.Equal(t, len(stranger.Take().Messages), 0, "a replica that isn't a voter stands for election")
+	stranger.Step(&wire.PeerMessage{
+		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE, From: 1, To: 2, Term: 50, ClusterId: 9,
+	})
+	assert.Equal(t, len(stranger.Take().Messages), 0, "a message to the old identity is answered")
+	_, confirmed := leader.core.Status().Round, leader.core.Status().ConfirmedRound
+	leader.core.Heartbeat()
+	leader.core.Step(&wire.PeerMessage{
+		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER, From: 99, To: leader.id,
+		Term: leader.core.Status().Term, Round: leader.core.Status().Round, Index: 1000, ClusterId: 9,
+	})
+	assert.Equal(t, leader.core.Status().ConfirmedRound, confirmed, "a stranger's answer counts")
+}
+
+// answer makes the acknowledgement of a follower.
+func answer(from uint64, leader *quorum.Core, index uint64) *wire.PeerMessage {
+	return &wire.PeerMessage{
+		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER, From: from, To: 1,
+		Term: leader.Status().Term, Index: index, ClusterId: 9,
+	}
+}
+
+// lead makes replica 1 of three the leader, with the given records on disk.
+func lead(t *testing.T, records []*wire.LogRecord) *quorum.Core {
+	t.Helper()
+	membership := &wire.Membership{ClusterId: 9}
+	for id := uint64(1); id <= 3; id++ {
+		membership.Members = append(membership.Members, &wire.ControlMember{ReplicaId: id, Voter: true})
+	}
+	c := quorum.New(quorum.Options{ID: 1, ElectionTicks: 10, HeartbeatTicks: 2, Random: func(int) int { return 0 }},
+		quorum.Durable{Vote: &wire.Vote{Term: 1}, Snapshot: &wire.Snapshot{Membership: membership}, Records: records})
+	for range 10 {
+		c.Tick()
+	}
+	for _, kind := range []wire.PeerMessageKind{
+		wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER, wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE_ANSWER,
+	} {
+		c.Step(&wire.PeerMessage{Kind: kind, From: 2, To: 1, Term: 2, ClusterId: 9})
+	}
+	assert.Equal(t, c.Status().Role, quorum.Leader)
+	return c
+}
+
+// Symptom: an acknowledged change is gone after one replica crashed. Sequence:
+// the leader counts itself among the holders before its own sync is done, and
+// crashes. Only Synced may make its copy count.
+func TestLeaderCountsItselfOnlyOnceSynced(t *testing.T) {
+	c := lead(t, nil)
+	out := c.Take()
+	c.Step(answer(2, c, 1))
+	assert.Equal(t, c.Status().Commit, uint64(0))
+	c.Synced(out)
+	assert.Equal(t, c.Status().Commit, uint64(1))
+}
+
+// Symptom: a record that was committed is replaced (figure 8 of the Raft
+// paper). Sequence: a new leader finds a record of an old term on a majority
+// and calls it committed; another leader, elected with a later record, removes
+// it. Cause: only a record of the leader's own term may be counted.
+func TestOldTermIsNotCommittedByCounting(t *testing.T) {
+	c := lead(t, []*wire.LogRecord{{Index: 1, Term: 1}})
+	c.Synced(c.Take())
+	c.Step(answer(2, c, 1))
+	assert.Equal(t, c.Status().Commit, uint64(0))
+	c.Step(answer(2, c, 2))
+	assert.Equal(t, c.Status().Commit, uint64(2))
+}
+
+func TestMembershipRefusals(t *testing.T) {
+	s := newTestCluster(t)
+	leader := leaderOf(t, s)
+	cases := []struct {
+		name   string
+		change func() error
+		want   error
+	}{
+		{"promote a stranger", func() error { return leader.core.Promote(77) }, quorum.ErrUnknownMember},
+		{"remove a stranger", func() error { return leader.core.Remove(77) }, quorum.ErrUnknownMember},
+		{"second change at once", func() error {
+			if err := leader.core.AddLearner(&wire.ControlMember{ReplicaId: 50}); err != nil {
+				return err
+			}
+			return leader.core.AddLearner(&wire.ControlMember{ReplicaId: 51})
+		}, quorum.ErrChangePending},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) { assert.ErrorIs(t, c.change(), c.want) })
+	}
+	for id, r := range s.replicas {
+		if r != leader {
+			assert.ErrorIs(t, r.core.Remove(id), quorum.ErrNotLeader)
+		}
+	}
+}
+
+func ExampleRole() {
+	fmt.Println(quorum.Leader)
+	// Output: leader
+}
--- /dev/null
+++ b/internal/store/quorum/sim_test.go
@@ -0,0 +1,502 @@
+// This file defines a simulation of whole clusters under seeded schedules.
+
+package quorum_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"google.golang.org/protobuf/proto"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/quorum"
+	"sycamoredeck.example/internal/store/state"
+)
+
+// simFaults are probabilities, per step unless said otherwise.
+type simFaults struct {
+	crash, restart, cut, heal, drop, duplicate, snapshot, replace, handover float64
+}
+
+type (
+	simDisk struct {
+		vote     *wire.Vote
+		snapshot *wire.Snapshot
+		records  []*wire.LogRecord
+	}
+
+	simWaiter struct {
+		term uint64
+		done func(*state.Result)
+	}
+
+	simRead struct {
+		round, index uint64
+		done         func(version uint64, ok bool)
+	}
+
+	simReplica struct {
+		id      uint64
+		core    *quorum.Core
+		machine *state.Machine
+		disk    simDisk
+		waiters map[uint64]simWaiter
+		reads   []simRead
+		applied uint64
+		inTerm  uint64
+	}
+
+	// sim is a cluster whose every step is drawn from one seed.
+	sim struct {
+		random   *rand.Rand
+		faults   simFaults
+		replicas map[uint64]*simReplica // those that are up
+		down     map[uint64]simDisk
+		network  []*wire.PeerMessage
+		cuts     map[[2]uint64]bool
+		nextID   uint64
+
+		committed map[uint64]*wire.LogRecord
+		leaders   map[uint64]uint64 // term to replica
+		broken    []string
+
+		step       int64
+		operations []porcupine.Operation
+		clients    int
+		// forgetful makes crashes lose synced records too: the fault that the
+		// simulation must be able to find.
+		forgetful bool
+	}
+)
+
+func newSim(seed uint64, size int, faults simFaults) *sim {
+	s := &sim{
+		random: rand.New(rand.NewPCG(seed, 7)), faults: faults, nextID: 1,
+		replicas: map[uint64]*simReplica{}, down: map[uint64]simDisk{}, cuts: map[[2]uint64]bool{},
+		committed: map[uint64]*wire.LogRecord{}, leaders: map[uint64]uint64{},
+	}
+	founding := &wire.Membership{ClusterId: 9}
+	for range size {
+		founding.Members = append(founding.Members, &wire.ControlMember{ReplicaId: s.nextID, Voter: true})
+		s.nextID++
+	}
+	for _, m := range founding.Members {
+		s.start(m.ReplicaId, simDisk{snapshot: &wire.Snapshot{Membership: founding}})
+	}
+	return s
+}
+
+func (s *sim) start(id uint64, disk simDisk) {
+	r := &simReplica{id: id, disk: disk, machine: state.New(state.Options{}), waiters: map[uint64]simWaiter{}}
+	if len(disk.snapshot.State) > 0 {
+		s.check(r.machine.Load(disk.snapshot.State) == nil, "replica %d: snapshot can't be loaded", id)
+	}
+	r.applied, r.inTerm = disk.snapshot.Index, disk.snapshot.Term
+	r.core = quorum.New(quorum.Options{
+		ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Random: s.random.IntN,
+	}, quorum.Durable{Vote: disk.vote, Snapshot: disk.snapshot, Records: slices.Clone(disk.records)})
+	s.replicas[id] = r
+	delete(s.down, id)
+}
+
+func (s *sim) check(ok bool, format string, args ...any) {
+	if !ok {
+		s.broken = append(s.broken, fmt.Sprintf("step %d: ", s.step)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *sim) chance(p float64) bool { return s.random.Float64() < p }
+
+// pick gives a random replica that is up, in an order that the seed fixes.
+func (s *sim) pick() *simReplica {
+	ids := make([]uint64, 0, len(s.replicas))
+	for id := range s.replicas {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	slices.Sort(ids)
+	return s.replicas[ids[s.random.IntN(len(ids))]]
+}
+
+func (s *sim) run(steps int) {
+	for range steps {
+		s.step++
+		s.disturb()
+		if r := s.pick(); r != nil {
+			if s.chance(0.3) {
+				r.core.Tick()
+			}
+			s.act(r)
+			s.flush(r)
+		}
+		for range s.random.IntN(4) {
+			s.deliver()
+		}
+	}
+}
+
+// settle ends all faults and lets the cluster come to rest.
+func (s *sim) settle() {
+	s.faults = simFaults{}
+	clear(s.cuts)
+	ids := make([]uint64, 0, len(s.down))
+	for id := range s.down {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		s.start(id, s.down[id])
+	}
+	for range 4000 {
+		s.step++
+		r := s.pick()
+		if s.chance(0.3) {
+			r.core.Tick()
+		}
+		s.flush(r)
+		for range 4 {
+			s.deliver()
+		}
+	}
+}
+
+func (s *sim) disturb() {
+	if s.chance(s.faults.crash) {
+		if r := s.pick(); r != nil {
+			s.crash(r)
+		}
+	}
+	if s.chance(s.faults.restart) {
+		ids := make([]uint64, 0, len(s.down))
+		for id := range s.down {
+			ids = append(ids, id)
+		}
+		slices.Sort(ids)
+		if len(ids) > 0 {
+			id := ids[s.random.IntN(len(ids))]
+			s.start(id, s.down[id])
+		}
+	}
+	if s.chance(s.faults.cut) {
+		a, b := s.pick(), s.pick()
+		if a != nil && a != b {
+			s.cuts[[2]uint64{a.id, b.id}] = true
+		}
+	}
+	if s.chance(s.faults.heal) {
+		clear(s.cuts)
+	}
+}
+
+func (s *sim) crash(r *simReplica) {
+	for _, index := range sortedKeys(r.waiters) {
+		r.waiters[index].done(nil)
+	}
+	for _, read := range r.reads {
+		read.done(0, false)
+	}
+	if s.forgetful && len(r.disk.records) > 0 {
+		r.disk.records = r.disk.records[:len(r.disk.records)/2]
+	}
+	delete(s.replicas, r.id)
+	s.down[r.id] = r.disk
+}
+
+func sortedKeys[V any](m map[uint64]V) []uint64 {
+	keys := make([]uint64, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func (s *sim) deliver() {
+	if len(s.network) == 0 {
+		return
+	}
+	i := s.random.IntN(min(len(s.network), 8)) // mostly in order, not always
+	m := s.network[i]
+	s.network = slices.Delete(s.network, i, i+1)
+	if s.chance(s.faults.duplicate) {
+		s.network = append(s.network, m)
+	}
+	r := s.replicas[m.To]
+	if r == nil || s.cuts[[2]uint64{m.From, m.To}] || s.chance(s.faults.drop) {
+		return
+	}
+	// What crosses a network is a copy.
+	r.core.Step(proto.Clone(m).(*wire.PeerMessage))
+	s.flush(r)
+}
+
+// flush does what the node does with a replica's output, and may crash
+// between any two of its steps, which loses what wasn't synced.
+func (s *sim) flush(r *simReplica) {
+	out := r.core.Take()
+	s.network = append(s.network, out.Early...)
+	if s.chance(s.faults.crash) {
+		s.crash(r)
+		return
+	}
+	if out.Vote != nil {
+		r.disk.vote = out.Vote
+	}
+	if out.Snapshot != nil {
+		r.disk.snapshot, r.disk.records = out.Snapshot, nil
+	}
+	if len(out.Records) > 0 {
+		r.disk.append(out.Records)
+	}
+	if s.chance(s.faults.crash) {
+		s.crash(r)
+		return
+	}
+	r.core.Synced(out)
+	s.checkPromises(r, out.Messages)
+	s.network = append(s.network, out.Messages...)
+	if out.Snapshot != nil {
+		s.check(r.machine.Load(out.Snapshot.State) == nil, "replica %d: snapshot can't be loaded", r.id)
+		r.applied, r.inTerm = out.Snapshot.Index, out.Snapshot.Term
+	}
+	for _, record := range out.Committed {
+		s.apply(r, record)
+	}
+	s.afterFlush(r)
+}
+
+// checkPromises finds answers that promise what isn't on the disk.
+func (s *sim) checkPromises(r *simReplica, messages []*wire.PeerMessage) {
+	for _, m := range messages {
+		switch {
+		case m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE_ANSWER && !m.Reject:
+			saved := r.disk.vote.GetTerm() == m.Term && r.disk.vote.GetVotedFor() == m.To
+			s.check(saved, "replica %d gives a vote that isn't saved", r.id)
+		case m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER && !m.Reject:
+			held := r.disk.snapshot.Index + uint64(len(r.disk.records))
+			s.check(m.Index <= held, "replica %d acknowledges record %d and holds %d", r.id, m.Index, held)
+		default:
+		}
+	}
+}
+
+func (d *simDisk) append(records []*wire.LogRecord) {
+	first := records[0].Index
+	kept := d.records
+	for i, r := range kept {
+		if r.Index >= first {
+			kept = kept[:i]
+			break
+		}
+	}
+	d.records = append(slices.Clone(kept), records...)
+}
+
+func (s *sim) apply(r *simReplica, record *wire.LogRecord) {
+	s.check(record.Index == r.applied+1, "replica %d applies %d after %d", r.id, record.Index, r.applied)
+	if known := s.committed[record.Index]; known == nil {
+		s.committed[record.Index] = record
+	} else {
+		s.check(proto.Equal(known, record), "two records committed at %d", record.Index)
+	}
+	var result state.Result
+	if record.Command != nil {
+		result = r.machine.Apply(record.Command)
+	}
+	r.applied, r.inTerm = record.Index, record.Term
+	if w, ok := r.waiters[record.Index]; ok {
+		delete(r.waiters, record.Index)
+		if w.term == record.Term {
+			w.done(&result)
+		} else {
+			w.done(nil)
+		}
+	}
+}
+
+func (s *sim) afterFlush(r *simReplica) {
+	status := r.core.Status()
+	if status.Role == quorum.Leader {
+		if other, ok := s.leaders[status.Term]; ok {
+			s.check(other == r.id, "replicas %d and %d both lead term %d", other, r.id, status.Term)
+		}
+		s.leaders[status.Term] = r.id
+	}
+	kept := r.reads[:0]
+	for _, read := range r.reads {
+		switch {
+		case status.Role != quorum.Leader:
+			read.done(0, false)
+		case status.ConfirmedRound >= read.round && r.applied >= read.index:
+			read.done(r.machine.Configuration().Version, true)
+		default:
+			kept = append(kept, read)
+		}
+	}
+	r.reads = kept
+	if r.applied > status.FirstIndex && s.chance(s.faults.snapshot) {
+		s.snapshot(r)
+	}
+}
+
+func (s *sim) snapshot(r *simReplica) {
+	data, err := r.machine.Save()
+	s.check(err == nil, "replica %d: state can't be saved", r.id)
+	snapshot := &wire.Snapshot{
+		Index: r.applied, Term: r.inTerm, State: data,
+		Membership: proto.Clone(r.core.MembersAt(r.applied)).(*wire.Membership),
+	}
+	r.core.Compact(snapshot)
+	r.disk.snapshot = snapshot
+	for len(r.disk.records) > 0 && r.disk.records[0].Index <= snapshot.Index {
+		r.disk.records = r.disk.records[1:]
+	}
+}
+
+// act lets clients and operators do something at a replica.
+func (s *sim) act(r *simReplica) {
+	status := r.core.Status()
+	if status.Role != quorum.Leader || r.inTerm != status.Term {
+		return
+	}
+	if s.chance(s.faults.handover) {
+		r.core.Handover()
+	}
+	if s.chance(s.faults.replace) {
+		s.changeMembers(r)
+	}
+	if len(r.waiters)+len(r.reads) > 3 {
+		return
+	}
+	switch {
+	case s.chance(0.15):
+		s.write(r)
+	case s.chance(0.15):
+		s.read(r, status.Commit)
+	}
+}
+
+// changeMembers takes the next step of replacing a random member by a new
+// replica, as the operator's command does. Refusals are part of it.
+func (s *sim) changeMembers(r *simReplica) {
+	members := r.core.Members().Members
+	for _, m := range members {
+		if !m.Voter {
+			_ = r.core.Promote(m.ReplicaId)
+			return
+		}
+	}
+	if len(members) < 5 && s.chance(0.6) {
+		id := s.nextID
+		if r.core.AddLearner(&wire.ControlMember{ReplicaId: id}) == nil {
+			s.nextID++
+			s.start(id, simDisk{snapshot: &wire.Snapshot{Membership: &wire.Membership{ClusterId: 9}}})
+		}
+		return
+	}
+	if len(members) > 3 {
+		_ = r.core.Remove(members[s.random.IntN(len(members))].ReplicaId)
+	}
+}
+
+type (
+	simInput struct {
+		write    bool
+		expected uint64
+	}
+
+	simOutput struct {
+		known   bool
+		applied bool
+		version uint64
+	}
+)
+
+// write is a compare-and-set of the configuration's version, as operators who
+// race do it.
+func (s *sim) write(r *simReplica) {
+	expected := r.machine.Configuration().Version
+	if s.chance(0.2) && expected > 0 {
+		expected--
+	}
+	client, began := s.clients, s.step
+	s.clients++
+	command := &wire.Command{Body: &wire.Command_ApplyConfiguration{ApplyConfiguration: &wire.ApplyConfigurationRequest{
+		OperationId: fmt.Sprint(client), ExpectedVersion: expected, Configuration: &wire.Configuration{},
+	}}}
+	index, ok := r.core.Propose([]*wire.Command{command})
+	if !ok {
+		return
+	}
+	r.waiters[index] = simWaiter{r.core.Status().Term, func(result *state.Result) {
+		out := simOutput{}
+		if result != nil {
+			out = simOutput{true, result.Apply.Outcome == wire.ApplyOutcome_APPLY_OUTCOME_APPLIED, result.Apply.Current.Version}
+		}
+		s.record(client, began, simInput{true, expected}, out)
+	}}
+}
+
+func (s *sim) read(r *simReplica, commit uint64) {
+	client, began := s.clients, s.step
+	s.clients++
+	round := r.core.Heartbeat()
+	r.reads = append(r.reads, simRead{round, commit, func(version uint64, ok bool) {
+		if ok {
+			s.record(client, began, simInput{}, simOutput{known: true, version: version})
+		}
+	}})
+}
+
+func (s *sim) record(client int, began int64, in simInput, out simOutput) {
+	ended := s.step
+	if !out.known {
+		ended = 1 << 60 // it may take effect at any later time, or never
+	}
+	s.operations = append(s.operations, porcupine.Operation{
+		ClientId: client, Input: in, Output: out, Call: 2 * began, Return: 2*ended + 1,
+	})
+}
+
+// registerModel is a register that counts versions.
+var registerModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(st, input, output any) []any {
+		version, in, out := st.(uint64), input.(simInput), output.(simOutput)
+		fits := in.expected == version
+		switch {
+		case !in.write && out.version == version:
+			return []any{version}
+		case !in.write:
+			return nil
+		case !out.known && fits:
+			return []any{version, version + 1}
+		case !out.known:
+			return []any{version}
+		case out.applied && fits && out.version == version+1:
+			return []any{version + 1}
+		case !out.applied && !fits && out.version == version:
+			return []any{version}
+		default:
+			return nil
+		}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// linearizable checks the history. Writes still open at the end may have
+// taken effect.
+func (s *sim) linearizable() bool {
+	for _, id := range sortedKeys(s.replicas) {
+		for _, index := range sortedKeys(s.replicas[id].waiters) {
+			s.replicas[id].waiters[index].done(nil)
+		}
+	}
+	result := porcupine.CheckOperationsTimeout(registerModel.ToModel(), s.operations, 30*time.Second)
+	return result != porcupine.Illegal
+}
