--- a/internal/model/caller/caller.go
+++ b/internal/model/caller/caller.go
@@ -10,14 +10,17 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"sycamoredeck.example/internal/front/route"
 	"sycamoredeck.example/internal/model/front"
 	"sycamoredeck.example/internal/model/server"
 	"sycamoredeck.example/internal/schema/wire"
@@ -26,6 +29,9 @@
 const (
 	maxRecorded = int64(10 * time.Minute / time.Microsecond)
 	digits      = 3
+	// spinRate is the rate from which the pacing is exact, at the cost of a
+	// processor.
+	spinRate = 500
 	// maxOutstanding bounds the requests waiting at once.
 	maxOutstanding = 20000
 )
@@ -46,6 +52,11 @@
 		FollowRetryAfter bool
 		MaxReturns       int
 		Journal          *front.Journal
+		// Connections is how many connections each entry gets; 1 when 0.
+		Connections int
+		// Direct is a backend server's address to call without an entry, as
+		// the baseline that an entry's cost is measured against.
+		Direct string
 	}
 
 	// Report is what callers saw. Latencies are of completed requests.
@@ -61,9 +72,10 @@
 	}
 
 	run struct {
-		options  Options
-		balancer *front.Balancer
-		payload  []byte
+		options   Options
+		balancers []*front.Balancer
+		direct    *fasthttp.HostClient
+		payload   []byte
 
 		mu      sync.Mutex
 		report  Report
@@ -74,24 +86,55 @@
 
 // Run sends the load and waits for all answers.
 func Run(ctx context.Context, options Options) (*Report, error) {
-	balancer, err := front.New(options.Entries)
-	if err != nil {
-		return nil, err
-	}
-	defer balancer.Close()
-	if _, err := balancer.Wait(ctx); err != nil {
-		return nil, err
-	}
 	r := &run{
-		options: options, balancer: balancer, payload: bytes.Repeat([]byte("x"), options.PayloadBytes),
+		options: options, payload: bytes.Repeat([]byte("x"), options.PayloadBytes),
 		latency: hdrhistogram.New(1, maxRecorded, digits), notRun: hdrhistogram.New(1, maxRecorded, digits),
 	}
+	if options.Direct != "" {
+		r.direct = &fasthttp.HostClient{Addr: options.Direct, MaxConns: maxOutstanding}
+	} else if err := r.connect(ctx); err != nil {
+		return nil, err
+	}
+	defer r.close()
 	began := time.Now()
 	r.load(ctx, began)
 	r.report.Seconds = time.Since(began).Seconds()
 	return r.result(), nil
 }
 
+// await waits until a moment. The runtime's timers are a millisecond coarse,
+// which would send a fast load in bursts, so the last stretch is spun.
+func (r *run) await(due time.Time) {
+	if r.options.Rate < spinRate {
+		time.Sleep(time.Until(due))
+		return
+	}
+	time.Sleep(time.Until(due) - 2*time.Millisecond)
+	for time.Now().Before(due) {
+		runtime.Gosched()
+	}
+}
+
+func (r *run) connect(ctx context.Context) error {
+	for range max(r.options.Connections, 1) {
+		b, err := front.New(r.options.Entries)
+		if err != nil {
+			return err
+		}
+		r.balancers = append(r.balancers, b)
+		if _, err := b.Wait(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) close() {
+	for _, b := range r.balancers {
+		b.Close()
+	}
+}
+
 // load sends requests at exponentially spread moments (a Poisson process).
 func (r *run) load(ctx context.Context, began time.Time) {
 	random := rand.New(rand.NewPCG(r.options.Seed, 2))
@@ -99,7 +142,7 @@
 	tokens := make(chan struct{}, maxOutstanding)
 	due := began
 	for i := 0; due.Sub(began) < r.options.Duration && ctx.Err() == nil; i++ {
-		time.Sleep(time.Until(due))
+		r.await(due)
 		idempotent := random.Float64() < r.options.IdempotentPart
 		select {
 		case tokens <- struct{}{}:
@@ -142,8 +185,12 @@
 		RequestId: id, ClientAccount: r.options.ClientAccount, Service: r.options.Service,
 		Payload: r.payload, Timeout: durationpb.New(r.options.Timeout), Idempotent: idempotent,
 	}
+	if r.direct != nil {
+		return r.sendDirect(id)
+	}
+	balancer := r.balancers[rand.IntN(len(r.balancers))]
 	for {
-		conn, err := r.balancer.Wait(ctx)
+		conn, err := balancer.Wait(ctx)
 		if err != nil {
 			return nil, err
 		}
@@ -158,6 +205,24 @@
 	}
 }
 
+// sendDirect calls the backend server as an entry would.
+func (r *run) sendDirect(id string) (*wire.CallResponse, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.Header.SetMethod(fasthttp.MethodPost)
+	request.SetRequestURI("http://" + r.options.Direct + "/" + r.options.Service)
+	request.Header.Set(route.HeaderRequestID, id)
+	request.SetBodyRaw(r.payload)
+	if err := r.direct.DoTimeout(request, response, r.options.Timeout); err != nil {
+		return nil, err
+	}
+	return &wire.CallResponse{
+		RequestId: id, Outcome: wire.Outcome_OUTCOME_COMPLETED, Attempts: 1,
+		Payload: append([]byte(nil), response.Body()...),
+	}, nil
+}
+
 func (r *run) fail(err error, idempotent bool) {
 	r.count(func(s *Report) {
 		if !idempotent && status.Code(err) == codes.Unavailable {
--- a/internal/model/shell/shell.go
+++ b/internal/model/shell/shell.go
@@ -172,10 +172,16 @@
 	f.StringVar(&o.Prefix, "prefix", "r", "begin of the request ids")
 	f.BoolVar(&o.FollowRetryAfter, "follow-retry-after", false, "return when told, after a request wasn't run")
 	f.IntVar(&o.MaxReturns, "max-returns", 5, "returns of one request")
+	f.IntVar(&o.Connections, "connections", 1, "connections to each entry")
+	f.StringVar(&o.Direct, "direct", "", "call this backend server without an entry, as a baseline")
 	f.StringVar(&journal, "journal", "", "file for what callers were told")
 	f.StringVar(&output, "output", "json", "text or json")
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		if err := loopback(o.Entries...); err != nil {
+		targets := o.Entries
+		if o.Direct != "" {
+			targets = []string{o.Direct}
+		}
+		if err := loopback(targets...); err != nil {
 			return err
 		}
 		if o.Rate <= 0 || o.Rate > maxRate || o.Duration > maxDuration {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,43 +4,16 @@
 # control leader and one entry in the middle, and reports what came of it all.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-bin=$PWD/bin
 base=${DEMO_PORT:-17400}
-dir=$(mktemp -d)
-pids=()
-stop_all() {
-  for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$dir"
-}
-trap stop_all EXIT
-# start NAME COMMAND...: runs a process of the demo and keeps its pid.
-start() {
-  local name=$1
-  shift
-  "$@" >"$dir/$name.out" 2>"$dir/$name.log" &
-  eval "pid_$name=$!"
-  pids+=($!)
-}
-say() { printf '\n== %s\n' "$*"; }
-cli() { "$bin/sycamoredeck" "$@" --entry "$entries" --timeout 20s; }
+source scripts/lib.sh
 
 domains=(hall-grandi hall-keldur hall-vellir)
-members="" controls="" entries=""
-for i in 0 1 2; do
-  members+="${members:+,}control-$i=127.0.0.1:$((base + i))"
-  controls+="${controls:+,}127.0.0.1:$((base + i))"
-  entries+="${entries:+,}127.0.0.1:$((base + 10 + i))"
-done
+plan_addresses 3 3
 
 say "starting 3 control, 3 entry, 12 backend servers, 8 workers"
 for i in 0 1 2; do
-  start "control_$i" "$bin/sycamoredeck" control --instance-id "control-$i" --failure-domain "${domains[i]}" \
-    --listen-address "127.0.0.1:$((base + i))" --data-folder "$dir/data-$i" --founding-members "$members" \
-    --admin-address "127.0.0.1:$((base + 20 + i))"
-  start "entry_$i" "$bin/sycamoredeck" entry --instance-id "entry-$i" --failure-domain "${domains[i]}" \
-    --listen-address "127.0.0.1:$((base + 10 + i))" --control-addresses "$controls" \
-    --admin-address "127.0.0.1:$((base + 30 + i))"
+  start_control "$i" "${domains[i]}"
+  start_entry "$i" "${domains[i]}"
 done
 for i in 0 1 2 3 4 5; do
   start "night_$i" "$bin/standin" server --id "night-$i" --service nightsummary --entries "$entries" \
@@ -56,13 +29,11 @@
     --journal "$dir/worker-$i.journal"
 done
 # The first operator's call waits until a leader and an entry are there.
-for _ in $(seq 100); do cli status >"$dir/status" 2>/dev/null && break; sleep 0.2; done
+await cli status
 say "applying examples/configuration.json"
 cli config apply examples/configuration.json --operation-id demo-1
-for _ in $(seq 100); do
-  [ "$(cli worker list | grep -c true)" = 8 ] && break
-  sleep 0.2
-done
+all_attend() { [ "$(cli worker list | grep -c true)" = 8 ]; }
+await all_attend
 
 say "submitting 40 batch jobs and 2 standing tasks"
 jobs=()
@@ -96,10 +67,8 @@
 say "waiting for the batch jobs"
 finished=0
 for job in "${jobs[@]}"; do cli job wait "$job" >/dev/null && finished=$((finished + 1)); done
-for _ in $(seq 100); do
-  [ "$(cli job get "$keeper" | awk '/^state/ {print $2}')" = running ] && break
-  sleep 0.1
-done
+keeper_runs() { [ "$(cli job get "$keeper" | awk '/^state/ {print $2}')" = running ]; }
+await keeper_runs
 
 say "report"
 cat "$dir/calls_night.out" "$dir/calls_label.out"
