--- /dev/null
+++ b/internal/fleet/slots/slots_test.go
@@ -0,0 +1,91 @@
+// This file defines the tests of how slots are divided.
+
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"sycamoredeck.example/internal/fleet/slots"
+)
+
+const settling = time.Second
+
+// Symptom: a backend server gets more requests at once than it has slots.
+// Sequence: entries come and go, and each learns of it at another moment
+// within the settling time. At every moment the parts of all entries must add
+// up to the slots at most.
+func TestPartsNeverExceedTheSlots(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ids := []string{"e0", "e1", "e2", "e3", "e4"}
+		dividers := map[string]slots.Divider{}
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 12).Draw(rt, "changes") {
+			view := ids[:rapid.IntRange(1, len(ids)).Draw(rt, "entries")]
+			// Each entry learns the view within the settling time, and none
+			// learns the next one before all know this one.
+			at := now
+			for _, id := range rapid.Permutation(ids).Draw(rt, "order") {
+				at = at.Add(time.Duration(rapid.IntRange(0, 180).Draw(rt, "ms")) * time.Millisecond)
+				if contains(view, id) {
+					dividers[id] = dividers[id].WithEntries(id, view, at, settling)
+				} else {
+					delete(dividers, id)
+				}
+				assertWithin(rt, dividers, at)
+			}
+			now = at.Add(time.Duration(rapid.IntRange(0, 2000).Draw(rt, "pause")) * time.Millisecond)
+			assertWithin(rt, dividers, now)
+		}
+		total := 0
+		for _, d := range dividers {
+			total += d.Part("server", 8, now.Add(settling))
+		}
+		assert.Equal(rt, total, 8, "slots lie idle after the change has settled")
+	})
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+func assertWithin(t rapid.TB, dividers map[string]slots.Divider, now time.Time) {
+	t.Helper()
+	for server := range 4 {
+		total := 0
+		for _, d := range dividers {
+			total += d.Part(fmt.Sprint(server), 8, now)
+		}
+		assert.Assert(t, total <= 8, "%d slots used of 8", total)
+	}
+}
+
+// Over many backend servers each entry has about the same part.
+func TestPartsAreEven(t *testing.T) {
+	var ids []string
+	for i := range 9 {
+		ids = append(ids, fmt.Sprint("entry-", i))
+	}
+	now := time.Unix(1000, 0)
+	for _, id := range ids {
+		d := slots.Divider{}.WithEntries(id, ids, now, 0)
+		sum := 0
+		for server := range 65 {
+			sum += d.Part(fmt.Sprint("server-", server), 8, now)
+		}
+		assert.Assert(t, sum > 35 && sum < 85, "%s has %d of 520", id, sum)
+	}
+}
+
+func TestZeroValueOwnsNothing(t *testing.T) {
+	assert.Equal(t, slots.Divider{}.Part("server", 8, time.Now()), 0)
+}
--- a/internal/front/calls/calls.go
+++ b/internal/front/calls/calls.go
@@ -344,12 +344,12 @@
 	one.attempts++
 	attemptsTotal.Inc()
 	one.tried = append(one.tried, b.ID())
-	answer, err := b.Do(ctx, began, route.Request{
+	answer, late, err := b.Do(ctx, began, route.Request{
 		ID: one.request.RequestId, Account: one.request.ClientAccount, Service: one.request.Service,
 		Payload: one.request.Payload, Deadline: c.attemptDeadline(one, began),
 		Idempotent: one.request.Idempotent, MaxAnswer: int(c.options.Settings.MaxPayloadBytes),
 	})
-	c.finish(one, b, began, answer, err)
+	c.finish(one, b, began, answer, late, err)
 	if err == nil {
 		return one.completed(b.ID(), answer), nil
 	}
@@ -365,7 +365,7 @@
 	return now.Add(time.Duration(float64(one.deadline.Sub(now)) * attemptPart))
 }
 
-func (c *Calls) finish(one *call, b *route.Backend, began time.Time, answer route.Answer, err error) {
+func (c *Calls) finish(one *call, b *route.Backend, began time.Time, answer route.Answer, late func(), err error) {
 	now := c.options.Clock.Now()
 	ended := route.Ended{}
 	switch {
@@ -377,7 +377,15 @@
 	default:
 		ended.Failed = true
 	}
-	one.service.Release(b, ended)
+	if late == nil {
+		one.service.Release(b, ended)
+		return
+	}
+	one.service.Note(b, ended)
+	go func() {
+		late()
+		one.service.Release(b, route.Ended{})
+	}()
 }
 
 // fenced gets a non-idempotent request its pass before the first attempt.
--- a/internal/front/route/attempt.go
+++ b/internal/front/route/attempt.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -27,6 +28,11 @@
 	HeaderLeaving = "Sycamoredeck-Leaving"
 )
 
+// lingerLimit is how long a late answer is waited for before the connection is
+// closed and the slot given back; a backend server that has hung for so long
+// is ejected by then.
+const lingerLimit = 30 * time.Second
+
 // What an attempt without a whole answer means.
 var (
 	// ErrNotRun: surely not run; no byte was sent, or it was refused.
@@ -54,36 +60,63 @@
 )
 
 // Do sends the request and reads the whole answer. The error wraps ErrNotRun
-// or ErrUnknown. The caller holds a slot.
-func (b *Backend) Do(ctx context.Context, now time.Time, r Request) (Answer, error) {
+// or ErrUnknown. The caller holds a slot, and must keep it until late, where
+// that isn't nil, has returned.
+//
+// Late waits for an answer whose deadline has passed. The backend server may
+// still be working on it: a slot given back at the deadline would let another
+// request in beside it, beyond what the backend server can run.
+func (b *Backend) Do(ctx context.Context, now time.Time, r Request) (answer Answer, late func(), err error) {
 	ctx, span := spans.Hop(ctx, "attempt", attribute.String("backend_server", b.ID()))
 	defer span.End()
 	c, err := b.connect(now, r.Deadline, !r.Idempotent)
 	if err != nil {
-		return Answer{}, fmt.Errorf("%w: %w", ErrNotRun, err)
+		return Answer{}, nil, fmt.Errorf("%w: %w", ErrNotRun, err)
+	}
+	if err := c.send(ctx, b.announcement.Address, r); err != nil {
+		c.Close()
+		return Answer{}, nil, err
+	}
+	if _, err := c.reader.Peek(1); errors.Is(err, os.ErrDeadlineExceeded) {
+		return Answer{}, func() { b.linger(c, r) }, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	answer, reusable, err := c.read(r)
+	b.keep(c, reusable, now)
+	return answer, nil, err
+}
+
+// linger waits for a late answer, which nobody wants any more.
+func (b *Backend) linger(c *connection, r Request) {
+	reusable := false
+	if c.SetDeadline(time.Now().Add(lingerLimit)) == nil {
+		_, reusable, _ = c.read(r)
 	}
-	answer, reusable, err := c.exchange(ctx, b.announcement.Address, r)
+	b.keep(c, reusable, time.Now())
+}
+
+// keep takes a connection back. One with an answer still due, or one that made
+// no sense, would hand that answer to the next request, and is closed.
+func (b *Backend) keep(c *connection, reusable bool, now time.Time) {
 	if reusable {
 		b.putIdle(c, now)
-	} else {
-		// A connection with an answer still due, or one that made no sense,
-		// would hand that answer to the next request.
-		c.Close()
+		return
 	}
-	return answer, err
+	c.Close()
 }
 
-func (c *connection) exchange(ctx context.Context, host string, r Request) (Answer, bool, error) {
+func (c *connection) send(ctx context.Context, host string, r Request) error {
 	if err := c.SetDeadline(r.Deadline); err != nil {
-		return Answer{}, false, fmt.Errorf("%w: %w", ErrNotRun, err)
+		return fmt.Errorf("%w: %w", ErrNotRun, err)
 	}
-	if sent, err := c.write(ctx, host, r); err != nil {
-		if sent {
-			return Answer{}, false, fmt.Errorf("%w: %w", ErrUnknown, err)
-		}
-		return Answer{}, false, fmt.Errorf("%w: %w", ErrNotRun, err)
+	sent, err := c.write(ctx, host, r)
+	switch {
+	case err == nil:
+		return nil
+	case sent:
+		return fmt.Errorf("%w: %w", ErrUnknown, err)
+	default:
+		return fmt.Errorf("%w: %w", ErrNotRun, err)
 	}
-	return c.read(r)
 }
 
 // write sends the request, and tells whether any byte may have left.
--- a/internal/front/route/service.go
+++ b/internal/front/route/service.go
@@ -313,6 +313,13 @@
 	s.free--
 }
 
+// Note says how an attempt went whose slot isn't given back yet.
+func (s *Service) Note(b *Backend, e Ended) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b.note(s.options.Clock.Now(), e)
+}
+
 // Release gives the slot back and notes how the attempt went.
 func (s *Service) Release(b *Backend, e Ended) {
 	now := s.options.Clock.Now()
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -26,8 +26,13 @@
 )
 
 const (
-	helloInterval = 200 * time.Millisecond
-	helloTimeout  = time.Second
+	// reviewInterval is how often what was heard is looked at for its age.
+	reviewInterval = 100 * time.Millisecond
+	// helloPause lies between hellos; replicas hold them while there is no
+	// news. failedPause follows one that failed.
+	helloPause   = 20 * time.Millisecond
+	failedPause  = 200 * time.Millisecond
+	helloTimeout = time.Second
 	// heardLimit is how long what a replica said counts.
 	heardLimit = 2 * time.Second
 )
@@ -84,7 +89,7 @@
 // Run keeps in touch until the context ends.
 func (u *Uplink) Run(ctx context.Context) {
 	u.follow(ctx, u.options.Addresses)
-	ticker := u.options.Clock.NewTicker(helloInterval)
+	ticker := u.options.Clock.NewTicker(reviewInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -121,12 +126,14 @@
 
 func (u *Uplink) loop(ctx context.Context, address string) {
 	for ctx.Err() == nil {
+		pause := helloPause
 		if !u.hello(ctx, address) {
 			helloFailed.Inc()
+			pause = failedPause
 		}
 		select {
 		case <-ctx.Done():
-		case <-u.options.Clock.After(helloInterval):
+		case <-u.options.Clock.After(pause):
 		}
 	}
 }
@@ -140,9 +147,12 @@
 		EntryId: u.options.Self.EntryId, Address: u.options.Self.Address,
 		FailureDomain: u.options.Self.FailureDomain, ConfigurationVersion: u.version(),
 	}
+	known := u.lastOf(address)
 	limited, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
-	response, err := wire.NewControlServiceClient(conn).Hello(limited, &wire.HelloRequest{Entry: self})
+	response, err := wire.NewControlServiceClient(conn).Hello(limited, &wire.HelloRequest{
+		Entry: self, KnownLeader: known.GetLeaderAddress(), KnownTerm: known.GetTerm(),
+	})
 	if err != nil {
 		return false
 	}
@@ -151,6 +161,12 @@
 	return true
 }
 
+func (u *Uplink) lastOf(address string) *wire.HelloResponse {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.replicas[address].response
+}
+
 func (u *Uplink) note(address string, r *wire.HelloResponse) {
 	u.mu.Lock()
 	u.replicas[address] = heard{r, u.options.Clock.Now()}
@@ -271,10 +287,15 @@
 func (u *Uplink) memberAddresses() []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	// A replica that waits to be let in answers too, and knows no members.
 	var newest *wire.HelloResponse
-	for _, h := range u.replicas {
-		if newest == nil || h.response.Term > newest.Term {
-			newest = h.response
+	for address, h := range u.replicas {
+		r := h.response
+		if len(r.Members) == 0 {
+			continue
+		}
+		if newest == nil || r.Term > newest.Term || (r.Term == newest.Term && r.LeaderAddress == address) {
+			newest = r
 		}
 	}
 	var addresses []string
--- /dev/null
+++ b/internal/itest/cluster_test.go
@@ -0,0 +1,481 @@
+// This file defines the cluster of real processes that the tests run.
+
+// Package itest proves the system's promises with real processes behind a
+// fault-injecting proxy. It has tests only.
+package itest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/model/audit"
+	"sycamoredeck.example/internal/model/caller"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	// patience bounds every wait; it is wide, since the machine may be busy.
+	patience = 60 * time.Second
+	pollTime = 20 * time.Millisecond
+	// lease is short, so that losses are seen soon.
+	lease = 1500 * time.Millisecond
+)
+
+var binaries string
+
+// TestMain builds the programs once.
+func TestMain(m *testing.M) {
+	folder, err := os.MkdirTemp("", "itest")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", folder, "sycamoredeck.example/cmd/...")
+	build.Stdout, build.Stderr = os.Stdout, os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	binaries = folder
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+type (
+	process struct {
+		name    string
+		command []string
+		cmd     *exec.Cmd
+		out     string
+		exited  chan struct{}
+	}
+
+	cluster struct {
+		t                 *testing.T
+		folder            string
+		mesh              *mesh
+		mu                sync.Mutex
+		processes         map[string]*process
+		controls, entries []string
+		address           map[string]string // as others reach it
+		own               map[string]string // as it listens
+		journals          []string
+		conns             map[string]*grpc.ClientConn
+	}
+)
+
+// newCluster starts replicas and entries and waits until they serve.
+func newCluster(t *testing.T, controls, entries int) *cluster {
+	t.Helper()
+	t.Parallel()
+	c := &cluster{
+		t: t, folder: t.TempDir(), mesh: newMesh(), processes: map[string]*process{},
+		address: map[string]string{}, own: map[string]string{}, conns: map[string]*grpc.ClientConn{},
+	}
+	t.Cleanup(c.stop)
+	for i := range controls {
+		c.controls = append(c.controls, c.reserve(fmt.Sprintf("control-%d", i)))
+	}
+	for i := range entries {
+		c.entries = append(c.entries, c.reserve(fmt.Sprintf("entry-%d", i)))
+	}
+	for _, name := range c.controls {
+		c.start(name, c.controlCommand(name))
+	}
+	for _, name := range c.entries {
+		c.start(name, c.entryCommand(name))
+	}
+	for _, e := range c.entries {
+		c.until(e+" serves", func() bool { return len(c.statusAt(e).GetEntries()) == entries })
+	}
+	return c
+}
+
+// reserve gives a process its address and its place in the mesh.
+func (c *cluster) reserve(name string) string {
+	c.own[name] = freeAddress(c.t)
+	c.address[name] = c.mesh.listen(c.t, name, c.own[name])
+	return name
+}
+
+// nextPort counts up below the range that the kernel draws ports from, so that
+// no test is given a port that another has reserved and not yet bound.
+var nextPort atomic.Int32
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	for range 5000 {
+		address := fmt.Sprintf("127.0.0.1:%d", 20000+nextPort.Add(1)%12000)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			listener.Close()
+			return address
+		}
+	}
+	t.Fatal("no free port")
+	return ""
+}
+
+func (c *cluster) addresses(names []string) string {
+	var list []string
+	for _, n := range names {
+		list = append(list, c.address[n])
+	}
+	return strings.Join(list, ",")
+}
+
+func (c *cluster) controlCommand(name string) []string {
+	var members []string
+	for _, n := range c.controls {
+		members = append(members, n+"="+c.address[n])
+	}
+	return []string{
+		"sycamoredeck", "control", "--instance-id", name, "--failure-domain", "fd-" + name,
+		"--listen-address", c.own[name], "--advertise-address", c.address[name],
+		"--data-folder", filepath.Join(c.folder, name), "--founding-members", strings.Join(members, ","),
+		"--heartbeat-interval", "50ms", "--election-timeout", "400ms", "--worker-lease", lease.String(),
+		"--snapshot-records", "200", "--drain-timeout", "10s",
+	}
+}
+
+func (c *cluster) entryCommand(name string) []string {
+	return []string{
+		"sycamoredeck", "entry", "--instance-id", name, "--failure-domain", "fd-" + name,
+		"--listen-address", c.own[name], "--advertise-address", c.address[name],
+		"--control-addresses", c.addresses(c.controls), "--drain-delay", "500ms",
+	}
+}
+
+// server starts a backend server of service "svc".
+func (c *cluster) server(name string, flags ...string) {
+	c.reserve(name)
+	c.start(name, append([]string{
+		"standin", "server", "--id", name, "--service", "svc", "--listen", c.own[name], "--advertise", c.address[name],
+		"--entries", c.addresses(c.entries), "--service-time", "2ms", "--journal", c.journal(name),
+	}, flags...))
+}
+
+// worker starts a worker with room for four tasks of kind "batch".
+func (c *cluster) worker(name string, flags ...string) {
+	c.start(name, append([]string{
+		"standin", "worker", "--id", name, "--entries", c.addresses(c.entries), "--milli-processors", "4000",
+		"--memory-bytes", "4000000", "--report-interval", "200ms", "--unit-time", "20ms", "--journal", c.journal(name),
+	}, flags...))
+}
+
+func (c *cluster) journal(name string) string {
+	path := filepath.Join(c.folder, name+".journal")
+	for _, j := range c.journals {
+		if j == path {
+			return path
+		}
+	}
+	c.journals = append(c.journals, path)
+	return path
+}
+
+// start runs a command of ours, again if it ran before.
+func (c *cluster) start(name string, command []string) *process {
+	p := &process{name: name, command: command, out: filepath.Join(c.folder, name+".out"), exited: make(chan struct{})}
+	p.cmd = exec.Command(filepath.Join(binaries, command[0]), command[1:]...)
+	out, err := os.Create(p.out)
+	assert.NilError(c.t, err)
+	log, err := os.OpenFile(filepath.Join(c.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(c.t, err)
+	p.cmd.Stdout, p.cmd.Stderr = out, log
+	p.cmd.Env = []string{"HOME=" + c.folder}
+	assert.NilError(c.t, p.cmd.Start())
+	c.mu.Lock()
+	c.processes[name] = p
+	c.mu.Unlock()
+	c.mesh.mu.Lock()
+	c.mesh.pids[name] = p.cmd.Process.Pid
+	c.mesh.mu.Unlock()
+	go func() {
+		_ = p.cmd.Wait()
+		out.Close()
+		log.Close()
+		close(p.exited)
+	}()
+	return p
+}
+
+func (c *cluster) process(name string) *process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[name]
+}
+
+func (c *cluster) signal(name string, s syscall.Signal) {
+	c.t.Helper()
+	assert.NilError(c.t, c.process(name).cmd.Process.Signal(s), name)
+}
+
+// kill ends a process with no chance to say anything.
+func (c *cluster) kill(name string) {
+	c.t.Helper()
+	c.signal(name, syscall.SIGKILL)
+	c.wait(name)
+}
+
+func (c *cluster) wait(name string) {
+	c.t.Helper()
+	select {
+	case <-c.process(name).exited:
+	case <-time.After(patience):
+		c.t.Fatalf("%s doesn't end", name)
+	}
+}
+
+func (c *cluster) restart(name string) {
+	c.start(name, c.process(name).command)
+}
+
+func (c *cluster) stop() {
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	for _, p := range c.processes {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range c.processes {
+		<-p.exited
+	}
+	if c.t.Failed() {
+		for name := range c.processes {
+			log, _ := os.ReadFile(filepath.Join(c.folder, name+".log"))
+			c.t.Logf("log of %s:\n%s", name, log[max(0, len(log)-3000):])
+		}
+	}
+}
+
+// until waits for a condition.
+func (c *cluster) until(what string, holds func() bool) {
+	c.t.Helper()
+	end := time.Now().Add(patience)
+	for !holds() {
+		if time.Now().After(end) {
+			c.t.Fatalf("gave up waiting until %s", what)
+		}
+		time.Sleep(pollTime)
+	}
+}
+
+// at connects to an entry, past the mesh.
+func (c *cluster) at(entry string) *grpc.ClientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[entry] == nil {
+		conn, err := grpc.NewClient("passthrough:///"+c.own[entry], grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithConnectParams(grpc.ConnectParams{Backoff: backoff.Config{BaseDelay: pollTime, MaxDelay: 10 * pollTime}, MinConnectTimeout: time.Second}))
+		assert.NilError(c.t, err)
+		c.conns[entry] = conn
+	}
+	return c.conns[entry]
+}
+
+func (c *cluster) context() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), 20*time.Second)
+}
+
+// status asks any entry that answers; nil when none does.
+func (c *cluster) status() *wire.GetStatusResponse {
+	for _, e := range c.entries {
+		if s := c.statusAt(e); s != nil {
+			return s
+		}
+	}
+	return nil
+}
+
+func (c *cluster) statusAt(entry string) *wire.GetStatusResponse {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	s, err := wire.NewOperatorServiceClient(c.at(entry)).GetStatus(ctx, &wire.GetStatusRequest{})
+	if err != nil {
+		return nil
+	}
+	return s
+}
+
+func (c *cluster) leader() string {
+	c.t.Helper()
+	var leader string
+	c.until("there is a leader", func() bool {
+		leader = c.status().GetLeader()
+		return leader != ""
+	})
+	return leader
+}
+
+func testConfiguration(share float64) *wire.Configuration {
+	need := &wire.Resources{MilliProcessors: 1000, MemoryBytes: 1000000}
+	return &wire.Configuration{
+		ClientAccounts: []*wire.ClientAccount{{Name: "acct", Share: share}},
+		Services:       []*wire.Service{{Name: "svc", ClientAccount: "acct"}},
+		JobKinds: []*wire.JobKind{
+			{Name: "batch", ClientAccount: "acct", Class: wire.JobClass_JOB_CLASS_BATCH, Idempotent: true, Resources: need},
+			{Name: "once", ClientAccount: "acct", Class: wire.JobClass_JOB_CLASS_BATCH, Resources: need},
+			{Name: "standing", ClientAccount: "acct", Class: wire.JobClass_JOB_CLASS_STANDING, Resources: need},
+		},
+	}
+}
+
+func (c *cluster) apply(entry, operation string, expected uint64, share float64) (*wire.ApplyConfigurationResponse, error) {
+	ctx, cancel := c.context()
+	defer cancel()
+	return wire.NewOperatorServiceClient(c.at(entry)).ApplyConfiguration(ctx, &wire.ApplyConfigurationRequest{
+		OperationId: operation, ExpectedVersion: expected, Configuration: testConfiguration(share),
+	})
+}
+
+// configure applies the first configuration and waits until it is in force.
+func (c *cluster) configure() {
+	c.t.Helper()
+	r, err := c.apply(c.entries[0], "first", 0, 1)
+	assert.NilError(c.t, err)
+	assert.Equal(c.t, r.Outcome, wire.ApplyOutcome_APPLY_OUTCOME_APPLIED)
+	c.until("the configuration is in force", func() bool {
+		for _, e := range c.status().GetEntries() {
+			if e.ConfigurationVersion < 1 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) submit(entry, key, kind, payload string, urgent bool) string {
+	c.t.Helper()
+	ctx, cancel := c.context()
+	defer cancel()
+	r, err := wire.NewJobServiceClient(c.at(entry)).Submit(ctx, &wire.SubmitRequest{IdempotencyKey: key, Spec: &wire.JobSpec{
+		ClientAccount: "acct", JobKind: kind, Payload: []byte(payload), Urgent: urgent,
+	}})
+	assert.NilError(c.t, err)
+	return r.Job.JobId
+}
+
+// job asks any entry that answers.
+func (c *cluster) job(id string) *wire.Job {
+	for _, e := range c.entries {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		r, err := wire.NewJobServiceClient(c.at(e)).Get(ctx, &wire.GetRequest{JobId: id})
+		cancel()
+		if err == nil {
+			return r.Job
+		}
+	}
+	return nil
+}
+
+func (c *cluster) untilState(id string, want wire.JobState) *wire.Job {
+	c.t.Helper()
+	var j *wire.Job
+	c.until(fmt.Sprintf("job %s is %v", id, want), func() bool {
+		j = c.job(id)
+		return j.GetState() == want
+	})
+	return j
+}
+
+func (c *cluster) untilWorkers(count int) {
+	c.t.Helper()
+	c.until("the workers attend", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		r, err := wire.NewOperatorServiceClient(c.at(c.entries[0])).ListWorkers(ctx, &wire.ListWorkersRequest{})
+		attending := 0
+		for _, w := range r.GetWorkers() {
+			if w.Attending {
+				attending++
+			}
+		}
+		return err == nil && attending == count
+	})
+}
+
+// untilUsable waits until every entry uses that many backend servers.
+func (c *cluster) untilUsable(count int) {
+	c.t.Helper()
+	c.until("the backend servers are known", func() bool {
+		for _, e := range c.entries {
+			if c.usable(e) != count {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (c *cluster) usable(entry string) int {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	r, err := wire.NewOperatorServiceClient(c.at(entry)).ListBackendServers(ctx, &wire.ListBackendServersRequest{})
+	if err != nil {
+		return -1
+	}
+	n := 0
+	for _, b := range r.BackendServers {
+		if b.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *cluster) call(entry, id string, idempotent bool) (*wire.CallResponse, error) {
+	ctx, cancel := c.context()
+	defer cancel()
+	return wire.NewCallerServiceClient(c.at(entry)).Call(ctx, &wire.CallRequest{
+		RequestId: id, ClientAccount: "acct", Service: "svc", Idempotent: idempotent, Payload: []byte("p"),
+	})
+}
+
+// load starts a caller process; its report is read once it has ended.
+func (c *cluster) load(name string, flags ...string) func() *caller.Report {
+	p := c.start(name, append([]string{
+		"standin", "caller", "--entries", c.addresses(c.entries), "--client-account", "acct", "--service", "svc",
+		"--prefix", name, "--journal", c.journal(name),
+	}, flags...))
+	return func() *caller.Report {
+		c.t.Helper()
+		c.wait(name)
+		r := &caller.Report{}
+		data, err := os.ReadFile(p.out)
+		assert.NilError(c.t, err)
+		assert.NilError(c.t, json.Unmarshal(data, r), "%s", data)
+		return r
+	}
+}
+
+// assertPromises reads what workers, servers and callers wrote down.
+func (c *cluster) assertPromises() *audit.Findings {
+	c.t.Helper()
+	var present []string
+	for _, j := range c.journals {
+		if _, err := os.Stat(j); err == nil {
+			present = append(present, j)
+		}
+	}
+	events, err := audit.Read(present)
+	assert.NilError(c.t, err)
+	f := audit.Check(events, func(id string) bool { return strings.HasPrefix(id, "once") })
+	assert.Equal(c.t, f.Broken(), 0, "%v", f.Examples)
+	return f
+}
--- /dev/null
+++ b/internal/itest/request_test.go
@@ -0,0 +1,218 @@
+// This file defines the proofs about requests, leaving and shutdown.
+
+package itest
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/model/caller"
+	"sycamoredeck.example/internal/model/server"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// Symptom: a request that must not be repeated runs twice, one runs whose
+// caller was told not run, or a caller gets another's answer or half of its
+// own. Sequence: backend servers refuse, hang, cut answers short and answer
+// under other ids, while a backend server, an entry and the control leader are
+// killed.
+func TestRequestsUnderFaults(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.configure()
+	for i := range 4 {
+		c.server(fmt.Sprintf("server-%d", i), "--refuse", "0.05", "--short", "0.03", "--mismatch", "0.03", "--hang", "0.003", "--seed", fmt.Sprint(i))
+	}
+	c.untilUsable(4)
+	once := c.load("once", "--rate", "60", "--duration", "6s", "--idempotent", "0", "--timeout", "500ms")
+	many := c.load("many", "--rate", "150", "--duration", "6s", "--timeout", "1s")
+	time.Sleep(1500 * time.Millisecond)
+	c.kill("server-0")
+	time.Sleep(time.Second)
+	c.kill("entry-1")
+	time.Sleep(time.Second)
+	c.kill(c.leader())
+	r := once()
+	assert.Equal(t, r.Wrong, int64(0))
+	assert.Equal(t, r.Failed, int64(0), "%v", r.Errors)
+	assert.Equal(t, r.Completed+r.NotRun+r.Unknown, r.Sent)
+	r = many()
+	assert.Equal(t, r.Wrong, int64(0))
+	assert.Equal(t, r.Failed, int64(0), "%v", r.Errors)
+	f := c.assertPromises()
+	assert.Assert(t, f.Requests > 500)
+}
+
+// Symptom: a non-idempotent request runs twice because its caller, whose
+// answer was lost, sent it again through another entry.
+func TestSameRequestThroughTwoEntries(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.configure()
+	c.server("server-0")
+	c.untilUsable(1)
+	first, err := c.call("entry-0", "once-1", false)
+	assert.NilError(t, err)
+	assert.Equal(t, first.Outcome, wire.Outcome_OUTCOME_COMPLETED)
+	t.Run("the same entry gives the same answer", func(t *testing.T) {
+		again, err := c.call("entry-0", "once-1", false)
+		assert.NilError(t, err)
+		assert.Equal(t, string(again.Payload), string(first.Payload))
+	})
+	t.Run("another entry knows that it ran", func(t *testing.T) {
+		again, err := c.call("entry-1", "once-1", false)
+		assert.NilError(t, err)
+		assert.Equal(t, again.Outcome, wire.Outcome_OUTCOME_UNKNOWN)
+		assert.Assert(t, again.Attempts == 0)
+	})
+	c.assertPromises()
+}
+
+// Without a control leader nothing that must not be repeated is sent, and
+// what may be is served all the same.
+func TestCallsWithoutLeader(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.configure()
+	c.server("server-0")
+	c.untilUsable(1)
+	c.kill("control-0")
+	c.kill("control-1")
+	r, err := c.call("entry-0", "many-1", true)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Outcome, wire.Outcome_OUTCOME_COMPLETED)
+	r, err = c.call("entry-0", "once-1", false)
+	assert.NilError(t, err)
+	assert.Equal(t, r.Outcome, wire.Outcome_OUTCOME_NOT_RUN)
+	assert.Assert(t, r.RetryAfter.AsDuration() > 0)
+	c.assertPromises()
+}
+
+func (c *cluster) serverStats(name string) server.Stats {
+	c.t.Helper()
+	c.wait(name)
+	data, err := os.ReadFile(c.process(name).out)
+	assert.NilError(c.t, err)
+	var s server.Stats
+	assert.NilError(c.t, json.Unmarshal(data, &s), "%s", data)
+	return s
+}
+
+// Symptom: a leaving backend server still gets new work after seconds.
+// Sequence: it announces to one entry that it leaves; that entry dies, or is
+// cut off from the others, or there is no control leader. Cause, where it
+// fails: news that travel one way only, or evidence that doesn't age.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *cluster)
+	}{
+		{"no fault", func(*cluster) {}},
+		{"no control leader", func(c *cluster) { c.kill("control-0"); c.kill("control-1") }},
+		{"an entry is cut off from the others", func(c *cluster) { c.mesh.isolate("entry-0", "entry-1", "entry-2") }},
+		{"an entry dies", func(c *cluster) { c.kill("entry-0") }},
+	}
+	for _, k := range cases {
+		t.Run(k.name, func(t *testing.T) {
+			c := newCluster(t, 3, 3)
+			c.configure()
+			for i := range 3 {
+				c.server(fmt.Sprintf("server-%d", i), "--leave-time", "6s")
+			}
+			c.untilUsable(3)
+			report := c.load("many", "--rate", "200", "--duration", "8s")
+			time.Sleep(time.Second)
+			k.fault(c)
+			c.signal("server-0", syscall.SIGTERM)
+			s := c.serverStats("server-0")
+			assert.Assert(t, s.Served > 0)
+			assert.Equal(t, s.AfterLeaving, int64(0))
+			assert.Equal(t, report().Wrong, int64(0))
+		})
+	}
+}
+
+// Symptom: a rolling restart cuts requests off. Sequence: under load each
+// entry, then the control leader, is told to stop and started again. Nothing
+// may fail, and nothing may end as unknown.
+func TestGracefulShutdownCutsNothing(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.configure()
+	for i := range 3 {
+		c.server(fmt.Sprintf("server-%d", i), "--service-time", "20ms")
+	}
+	c.untilUsable(3)
+	many := c.load("many", "--rate", "150", "--duration", "12s", "--timeout", "3s")
+	once := c.load("once", "--rate", "30", "--duration", "12s", "--timeout", "3s", "--idempotent", "0")
+	for _, e := range c.entries {
+		c.signal(e, syscall.SIGTERM)
+		c.wait(e)
+		c.restart(e)
+		c.until(e+" is back", func() bool { return c.usable(e) == 3 })
+	}
+	leader := c.leader()
+	c.signal(leader, syscall.SIGTERM)
+	c.wait(leader)
+	for name, report := range map[string]func() *caller.Report{"many": many, "once": once} {
+		r := report()
+		assert.Equal(t, r.Failed, int64(0), "%s: %v", name, r.Errors)
+		assert.Equal(t, r.Unknown, int64(0), "%s: %v", name, r.Reasons)
+		assert.Assert(t, r.Completed > r.Sent*9/10, "%s: %d of %d: %v", name, r.Completed, r.Sent, r.Reasons)
+	}
+	c.assertPromises()
+}
+
+// Symptom: slots or connections of a backend server are exceeded. Three
+// entries together must keep to both, under more load than there are slots.
+func TestSlotsAndConnectionsAreKept(t *testing.T) {
+	c := newCluster(t, 1, 3)
+	c.configure()
+	c.server("server-0", "--service-time", "20ms", "--slots", "4", "--connections", "8", "--leave-time", "0s")
+	c.untilUsable(1)
+	time.Sleep(1500 * time.Millisecond) // the entries' view of each other settles
+	report := c.load("many", "--rate", "600", "--duration", "3s", "--timeout", "300ms")
+	r := report()
+	assert.Assert(t, r.NotRun > 0 && r.Completed > 0, "%+v", r)
+	assert.Equal(t, r.Wrong, int64(0))
+	c.signal("server-0", syscall.SIGTERM)
+	s := c.serverStats("server-0")
+	assert.Assert(t, s.MaxInFlight <= 4, "%d requests in 4 slots", s.MaxInFlight)
+	assert.Assert(t, s.MaxConnections <= 8, "%d connections where 8 are allowed", s.MaxConnections)
+	assert.Equal(t, s.Refused, int64(0))
+}
+
+// Symptom: everything hangs though all processes live. Sequence: something
+// between the ends forgets all present connections; new ones work. Cause,
+// where it fails: a connection of any kind that is waited on without bound.
+func TestForgottenConnectionsAreReplaced(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.configure()
+	c.server("server-0")
+	c.server("server-1")
+	c.worker("worker-0")
+	c.untilUsable(2)
+	c.untilWorkers(1)
+	standing := c.submit("entry-0", "s", "standing", "", false)
+	c.untilState(standing, wire.JobState_JOB_STATE_RUNNING)
+	for round := range 2 {
+		assert.Assert(t, c.mesh.forget() > 10)
+		for _, e := range c.entries {
+			for i := range 5 {
+				id := fmt.Sprintf("%s-%d-%d", e, round, i)
+				c.until("calls are answered", func() bool {
+					r, err := c.call(e, id, true)
+					return err == nil && r.Outcome == wire.Outcome_OUTCOME_COMPLETED
+				})
+			}
+		}
+		key := fmt.Sprint("after", round)
+		c.untilState(c.submit("entry-1", key, "batch", "units=5", false), wire.JobState_JOB_STATE_FINISHED)
+		c.applyNext("entry-0", uint64(round+2))
+	}
+	c.untilState(standing, wire.JobState_JOB_STATE_RUNNING)
+	c.untilUsable(2)
+	c.assertPromises()
+}
--- a/internal/model/audit/audit.go
+++ b/internal/model/audit/audit.go
@@ -31,7 +31,11 @@
 		RunTwice int
 		// NotRunButRan: the caller was told not run, and it ran.
 		NotRunButRan int
-		Examples     []string
+		// UnitsRepeated: units done by more than one attempt. That is no
+		// broken promise where a worker was lost between checkpoints, and is
+		// one where work was stopped by order.
+		UnitsRepeated int
+		Examples      []string
 	}
 
 	history struct {
@@ -97,6 +101,7 @@
 func (f *Findings) checkTask(id string, h *history) {
 	var latest uint32
 	finished := map[uint32]bool{}
+	done := map[uint64]uint32{}
 	for _, e := range h.events {
 		switch e.Kind {
 		case "start":
@@ -106,6 +111,10 @@
 				f.Overlaps++
 				f.example("job %s: attempt %d on %s did unit %d after attempt %d had begun", id, e.Attempt, e.Source, e.Unit, latest)
 			}
+			if by := done[e.Unit]; by != 0 && by != e.Attempt {
+				f.UnitsRepeated++
+			}
+			done[e.Unit] = e.Attempt
 		case "finished":
 			finished[e.Attempt] = true
 		}
--- a/internal/model/caller/caller.go
+++ b/internal/model/caller/caller.go
@@ -29,6 +29,8 @@
 const (
 	maxRecorded = int64(10 * time.Minute / time.Microsecond)
 	digits      = 3
+	// maxReasons bounds the reasons told apart.
+	maxReasons = 20
 	// spinRate is the rate from which the pacing is exact, at the cost of a
 	// processor.
 	spinRate = 500
@@ -62,6 +64,8 @@
 	// Report is what callers saw. Latencies are of completed requests.
 	Report struct {
 		Sent, Completed, NotRun, Unknown, Failed, Wrong, Skipped int64
+		// Reasons counts why requests weren't run or ended as unknown.
+		Reasons map[string]int64
 		// Errors holds the first few failures.
 		Errors                      []string
 		Attempts, Returns           int64
@@ -251,14 +255,25 @@
 		r.options.Journal.Add("completed", id, 0, 0)
 	case wire.Outcome_OUTCOME_NOT_RUN:
 		r.report.NotRun++
+		r.reason(response.Reason)
 		_ = r.notRun.RecordValue(min(us, maxRecorded))
 		r.options.Journal.Add("not-run", id, 0, 0)
 	default:
 		r.report.Unknown++
+		r.reason(response.Reason)
 		r.options.Journal.Add("unknown", id, 0, 0)
 	}
 }
 
+func (r *run) reason(text string) {
+	if r.report.Reasons == nil {
+		r.report.Reasons = map[string]int64{}
+	}
+	if len(r.report.Reasons) < maxReasons {
+		r.report.Reasons[text]++
+	}
+}
+
 func (r *run) count(f func(*Report)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/model/shell/shell.go
+++ b/internal/model/shell/shell.go
@@ -85,6 +85,7 @@
 	f := c.Flags()
 	f.StringSliceVar(&o.Entries, "entries", nil, "addresses behind the balancer")
 	f.StringVar(&o.Listen, "listen", "127.0.0.1:0", "address to serve on")
+	f.StringVar(&a.Address, "advertise", "", "address it announces; the one it serves on when empty")
 	f.StringVar(&a.BackendServerId, "id", "server-1", "backend server id")
 	f.StringVar(&a.Service, "service", "", "service it runs")
 	f.StringVar(&a.FailureDomain, "failure-domain", "", "failure domain it stands in")
@@ -111,7 +112,10 @@
 		if o.Journal, err = front.OpenJournal(journal, a.BackendServerId); err != nil {
 			return err
 		}
-		a.Address, a.Incarnation = o.Listen, uint64(time.Now().UnixNano())
+		if a.Address == "" {
+			a.Address = o.Listen
+		}
+		a.Incarnation = uint64(time.Now().UnixNano())
 		stats, err := server.Run(c.Context(), o, leave)
 		if err != nil {
 			return err
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -47,6 +47,8 @@
 		term    uint64
 		version uint64
 		members []*wire.ControlMember
+		// changed is closed when a newer view takes its place.
+		changed chan struct{}
 	}
 
 	// Control is one running control process.
@@ -119,7 +121,7 @@
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	c.view.Store(&view{})
+	c.view.Store(&view{changed: make(chan struct{})})
 	c.register()
 	go c.server.Serve(listener)
 	if err := c.admin.Start(c.settings.Common.AdminAddress); err != nil {
@@ -188,6 +190,7 @@
 		Clock:             c.clock, Logger: c.logger,
 		Send:   c.carrier.Send,
 		Turn:   c.turn,
+		Lookup: c.founder.Lookup,
 		Failed: func(err error) { c.failed <- err },
 	}, c.log, durable, c.machine)
 	if err != nil {
@@ -228,7 +231,8 @@
 	c.seenMembers = members
 	c.founder.SetMembership(members)
 	c.admin.SetReady(leader != "")
-	c.view.Store(&view{leads: leads, leader: leader, term: status.Term, version: version, members: members.GetMembers()})
+	c.view.Store(&view{leads: leads, leader: leader, term: status.Term, version: version, members: members.GetMembers(), changed: make(chan struct{})})
+	close(old.changed)
 }
 
 func addressOf(m *wire.Membership, id uint64) string {
--- a/internal/run/ctrl/operator.go
+++ b/internal/run/ctrl/operator.go
@@ -109,11 +109,16 @@
 	err := s.node.Read(ctx, func() {
 		for id, w := range s.machine.Workers() {
 			answer.Workers = append(answer.Workers, &wire.WorkerStatus{
-				Worker: w.Record.Worker, Committed: w.Committed.Message(), Tasks: uint32(len(w.Tasks)),
-				Attending:        s.planner.Attending(id, w.Record.Worker.Incarnation, s.clock.Now()),
-				QuarantineReason: w.Record.QuarantineReason,
+				Worker: w.Record, Committed: w.Committed.Message(), Tasks: uint32(len(w.Tasks)),
+				Attending:        s.planner.Attending(id, w.Record.Incarnation, s.clock.Now()),
+				QuarantineReason: w.Quarantine,
 			})
 		}
+		for id, reason := range s.machine.Quarantines() {
+			if s.machine.Worker(id) == nil {
+				answer.Workers = append(answer.Workers, &wire.WorkerStatus{Worker: &wire.Worker{WorkerId: id}, QuarantineReason: reason})
+			}
+		}
 	})
 	sort.Slice(answer.Workers, func(i, j int) bool {
 		return answer.Workers[i].Worker.WorkerId < answer.Workers[j].Worker.WorkerId
--- a/internal/run/ctrl/peer.go
+++ b/internal/run/ctrl/peer.go
@@ -26,6 +26,8 @@
 const (
 	// entryHeard is how long an entry counts as running after its last hello.
 	entryHeard = 3 * time.Second
+	// helloHold is how long a hello is held while there is no news.
+	helloHold = 150 * time.Millisecond
 	// leaderCheck is how often a relay stream asks whether this replica still
 	// leads, so that entries move on soon after a change.
 	leaderCheck = 200 * time.Millisecond
@@ -111,18 +113,38 @@
 }
 
 // Hello hears an entry and tells it who leads and what is in force.
-func (s *controlService) Hello(_ context.Context, r *wire.HelloRequest) (*wire.HelloResponse, error) {
+func (s *controlService) Hello(ctx context.Context, r *wire.HelloRequest) (*wire.HelloResponse, error) {
 	if r.GetEntry().GetEntryId() == "" {
 		return nil, status.Error(codes.InvalidArgument, "Entry.EntryId is empty")
 	}
 	s.entries.hear(r.Entry, s.clock.Now())
-	v := s.view.Load()
+	v := s.awaitNews(ctx, r)
 	return &wire.HelloResponse{
 		LeaderAddress: v.leader, Term: v.term, ConfigurationVersion: v.version,
 		Entries: s.entries.list(s.clock.Now()), Members: v.members,
 	}, nil
 }
 
+// awaitNews holds a hello until there is something the entry doesn't know, so
+// that a change reaches all entries at once without more messages.
+func (s *controlService) awaitNews(ctx context.Context, r *wire.HelloRequest) *view {
+	v := s.view.Load()
+	deadline := s.clock.After(helloHold)
+	for v.version <= r.Entry.ConfigurationVersion && v.leader == r.KnownLeader && v.term == r.KnownTerm {
+		select {
+		case <-v.changed:
+		case <-deadline:
+			return v
+		case <-ctx.Done():
+			return v
+		case <-s.closing:
+			return v
+		}
+		v = s.view.Load()
+	}
+	return v
+}
+
 // FetchConfiguration gives the configuration applied here. A quorum-confirmed
 // one is what an entry needs that has none yet: a replica that lags would hand
 // it one from before a change that is in force already.
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -194,7 +194,7 @@
 func (e *Entry) sweep(ctx context.Context) {
 	ticker := e.clock.NewTicker(sweepInterval)
 	defer ticker.Stop()
-	settled := true
+	settled, hadSlots := true, false
 	lastSecond := e.clock.Now()
 	for {
 		select {
@@ -207,9 +207,11 @@
 		e.calls.Shed()
 		if s := e.divider.Load().Settled(now); s != settled {
 			settled = s
+			hadSlots = hadSlots || (s && len(e.divider.Load().Entries()) > 0)
 			e.calls.Resize()
 		}
-		ready := e.uplink.Configuration() != nil && e.uplink.InTouch() && !e.draining.Load()
+		// Until its first slots are settled an entry could only refuse.
+		ready := hadSlots && e.uplink.Configuration() != nil && e.uplink.InTouch() && !e.draining.Load()
 		e.setReady(ready)
 		if now.Sub(lastSecond) >= secondsInterval {
 			lastSecond = now
--- a/internal/sched/lease/table.go
+++ b/internal/sched/lease/table.go
@@ -25,6 +25,8 @@
 	grant struct {
 		incarnation string
 		until       time.Time
+		// expected says that no lease was granted yet.
+		expected bool
 	}
 
 	// Table is what one leader granted in one term. It is made by NewTable.
@@ -49,10 +51,20 @@
 // Grant notes that a worker's report is being answered with a lease, and
 // returns its duration.
 func (t *Table) Grant(worker, incarnation string, now time.Time) time.Duration {
-	t.grants[worker] = grant{incarnation, now.Add(stretched(t.duration))}
+	t.grants[worker] = grant{incarnation: incarnation, until: now.Add(stretched(t.duration))}
 	return t.duration
 }
 
+// Expect notes that an incarnation was registered, and gives it the time of a
+// lease to ask for its first one. Without that it would count as out at once,
+// be lost before its next report, register anew, and so on for ever.
+func (t *Table) Expect(worker, incarnation string, now time.Time) {
+	if g, ok := t.grants[worker]; ok && g.incarnation == incarnation {
+		return
+	}
+	t.grants[worker] = grant{incarnation: incarnation, until: now.Add(stretched(t.duration)), expected: true}
+}
+
 // Out tells whether every lease of the incarnation has surely run out.
 func (t *Table) Out(worker, incarnation string, now time.Time) bool {
 	if now.Before(t.settled) {
@@ -65,7 +77,7 @@
 // Held tells whether the incarnation was granted a lease that may still run.
 func (t *Table) Held(worker, incarnation string, now time.Time) bool {
 	g, ok := t.grants[worker]
-	return ok && g.incarnation == incarnation && now.Before(g.until)
+	return ok && !g.expected && g.incarnation == incarnation && now.Before(g.until)
 }
 
 // Forget drops what is known of a worker that was declared lost.
--- a/internal/sched/plan/health.go
+++ b/internal/sched/plan/health.go
@@ -105,7 +105,7 @@
 
 func (p *Planner) quarantine(worker string) {
 	known := p.options.Machine.Worker(worker)
-	if known == nil || known.Record.QuarantineReason != "" {
+	if known == nil || known.Quarantine != "" {
 		return
 	}
 	reason := fmt.Sprintf("failed %d jobs in a row", len(p.health.streaks[worker].jobs))
--- a/internal/sched/plan/place.go
+++ b/internal/sched/plan/place.go
@@ -100,14 +100,14 @@
 func (p *Planner) usable(now time.Time) usableWorkers {
 	var u usableWorkers
 	for id, w := range p.options.Machine.Workers() {
-		u.total = u.total.With(state.AmountOf(w.Record.Worker.Capacity))
-		if w.Record.QuarantineReason != "" || p.losing[id] || !p.leases.Held(id, w.Record.Worker.Incarnation, now) {
+		u.total = u.total.With(state.AmountOf(w.Record.Capacity))
+		if w.Quarantine != "" || p.losing[id] || !p.leases.Held(id, w.Record.Incarnation, now) {
 			continue
 		}
 		u.workers = append(u.workers, w)
 	}
 	sort.Slice(u.workers, func(i, k int) bool {
-		return u.workers[i].Record.Worker.WorkerId < u.workers[k].Record.Worker.WorkerId
+		return u.workers[i].Record.WorkerId < u.workers[k].Record.WorkerId
 	})
 	return u
 }
@@ -180,13 +180,13 @@
 		}
 		return nil
 	}
-	id := w.Record.Worker.WorkerId
+	id := w.Record.WorkerId
 	p.pending[j.JobId] = pendingPlacement{worker: id, account: account, need: need}
 	p.taken[id] = p.taken[id].With(need)
 	p.claimed[account] = p.claimed[account].With(need)
 	return &wire.Placement{
 		JobId: j.JobId, Attempt: j.Attempt + 1, WorkerId: id,
-		WorkerIncarnation: w.Record.Worker.Incarnation,
+		WorkerIncarnation: w.Record.Incarnation,
 	}
 }
 
@@ -201,9 +201,9 @@
 		}
 		score := p.options.Score(Candidate{
 			Job: j, Worker: w, Free: free, Need: need,
-			Capacity:   state.AmountOf(w.Record.Worker.Capacity),
-			FailedHere: p.health.failedOn[j.JobId][w.Record.Worker.WorkerId],
-			Siblings:   siblings[w.Record.Worker.FailureDomain],
+			Capacity:   state.AmountOf(w.Record.Capacity),
+			FailedHere: p.health.failedOn[j.JobId][w.Record.WorkerId],
+			Siblings:   siblings[w.Record.FailureDomain],
 		})
 		if best == nil || score > bestScore {
 			best, bestScore = w, score
@@ -213,8 +213,8 @@
 }
 
 func (p *Planner) free(w *state.Worker) state.Amount {
-	capacity := state.AmountOf(w.Record.Worker.Capacity)
-	return capacity.WithOut(w.Committed).WithOut(p.taken[w.Record.Worker.WorkerId])
+	capacity := state.AmountOf(w.Record.Capacity)
+	return capacity.WithOut(w.Committed).WithOut(p.taken[w.Record.WorkerId])
 }
 
 // siblings counts an account's standing tasks by failure domain, so that the
@@ -227,7 +227,7 @@
 	for _, w := range u.workers {
 		for _, t := range w.Tasks {
 			if t.Class == j.Class && t.Spec.ClientAccount == j.Spec.ClientAccount {
-				counts[w.Record.Worker.FailureDomain]++
+				counts[w.Record.FailureDomain]++
 			}
 		}
 	}
--- a/internal/sched/plan/planner.go
+++ b/internal/sched/plan/planner.go
@@ -164,7 +164,7 @@
 // their jobs can go on elsewhere.
 func (p *Planner) declareLost(now time.Time) {
 	for id, w := range p.options.Machine.Workers() {
-		incarnation := w.Record.Worker.Incarnation
+		incarnation := w.Record.Incarnation
 		if p.losing[id] || !p.leases.Out(id, incarnation, now) {
 			continue
 		}
--- a/internal/sched/plan/report.go
+++ b/internal/sched/plan/report.go
@@ -92,23 +92,24 @@
 func (p *Planner) admit(now time.Time, a *attendance) bool {
 	w := a.report.Worker
 	known := p.options.Machine.Worker(w.WorkerId)
-	if known != nil && known.Record.Worker.Incarnation == w.Incarnation {
+	if known != nil && known.Record.Incarnation == w.Incarnation {
 		return !p.losing[w.WorkerId]
 	}
 	if known != nil {
-		if !p.losing[w.WorkerId] && p.leases.Out(w.WorkerId, known.Record.Worker.Incarnation, now) {
-			p.lose(w.WorkerId, known.Record.Worker.Incarnation)
+		if !p.losing[w.WorkerId] && p.leases.Out(w.WorkerId, known.Record.Incarnation, now) {
+			p.lose(w.WorkerId, known.Record.Incarnation)
 		}
 		return false
 	}
 	if !a.registering {
-		p.register(a)
+		p.register(now, a)
 	}
 	return false
 }
 
-func (p *Planner) register(a *attendance) {
+func (p *Planner) register(now time.Time, a *attendance) {
 	a.registering = true
+	p.leases.Expect(a.report.Worker.WorkerId, a.report.Worker.Incarnation, now)
 	command := &wire.Command{Body: &wire.Command_RegisterWorker{RegisterWorker: a.report.Worker}}
 	p.options.Propose(command, func(r state.Result, err error) {
 		a.registering = false
--- /dev/null
+++ b/internal/sched/plan/sim_test.go
@@ -0,0 +1,334 @@
+// This file defines a simulation of leaders and workers under a fake clock.
+
+package plan_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"sycamoredeck.example/internal/sched/plan"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	simLease   = 2 * time.Second
+	simOverlap = 500 * time.Millisecond
+	simStep    = 20 * time.Millisecond
+)
+
+type (
+	simTask struct {
+		order *wire.TaskOrder
+		left  int
+		ended *wire.TaskReport
+	}
+
+	simWorker struct {
+		id, incarnation string
+		sequence        uint64
+		sent            map[uint64]time.Time
+		leaseEnd        time.Time
+		term            uint64
+		tasks           map[string]*simTask
+		frozenUntil     time.Time
+		bad             bool
+	}
+
+	simMessage struct {
+		at  time.Time
+		run func()
+	}
+
+	simCommit struct {
+		command *wire.Command
+		done    func(state.Result, error)
+		term    uint64
+	}
+
+	// sim runs planners of successive leaders against workers. Commands are
+	// committed late; messages are late, lost and out of order.
+	sim struct {
+		random  *rand.Rand
+		now     time.Time
+		machine *state.Machine
+		workers []*simWorker
+		queue   []simMessage
+		commits []simCommit
+
+		leaders   []*simLeader // the last one leads; earlier ones may think so
+		ran       map[string]int
+		doing     map[string]string
+		broken    []string
+		evictions int
+	}
+
+	simLeader struct {
+		planner   *plan.Planner
+		term      uint64
+		since     time.Time
+		confirmed time.Time
+	}
+)
+
+func newSim(seed uint64, workers int) *sim {
+	s := &sim{
+		random: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), machine: state.New(state.Options{Retention: time.Hour}),
+		ran: map[string]int{}, doing: map[string]string{},
+	}
+	need := &wire.Resources{MilliProcessors: 1000, MemoryBytes: 1}
+	s.machine.Apply(&wire.Command{Body: &wire.Command_ApplyConfiguration{ApplyConfiguration: &wire.ApplyConfigurationRequest{
+		OperationId: "op", Configuration: &wire.Configuration{
+			ClientAccounts: []*wire.ClientAccount{{Name: "a", Share: 1}, {Name: "b", Share: 3}},
+			JobKinds: []*wire.JobKind{
+				{Name: "k", ClientAccount: "a", Class: wire.JobClass_JOB_CLASS_BATCH, Idempotent: true, MaxFailures: 20, Resources: need},
+				{Name: "k", ClientAccount: "b", Class: wire.JobClass_JOB_CLASS_BATCH, Idempotent: true, MaxFailures: 20, Resources: need},
+			},
+		},
+	}}})
+	for i := range workers {
+		s.workers = append(s.workers, &simWorker{
+			id: fmt.Sprint("w", i), incarnation: "0", sent: map[uint64]time.Time{}, tasks: map[string]*simTask{},
+		})
+	}
+	s.elect()
+	return s
+}
+
+// elect makes a new leader. Those before it may go on for as long as their
+// last confirmed round allows.
+func (s *sim) elect() {
+	l := &simLeader{term: uint64(len(s.leaders) + 1), since: s.now, confirmed: s.now}
+	l.planner = plan.New(plan.Options{
+		Machine: s.machine, Lease: simLease, Overlap: simOverlap,
+		Propose: func(c *wire.Command, done func(state.Result, error)) {
+			s.commits = append(s.commits, simCommit{c, done, l.term})
+		},
+		Leads:     func() (time.Time, bool) { return l.since, true },
+		Confirmed: func() time.Time { return l.confirmed },
+		Term:      func() uint64 { return l.term },
+		Logger:    slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	s.leaders = append(s.leaders, l)
+}
+
+func (s *sim) leader() *simLeader { return s.leaders[len(s.leaders)-1] }
+
+func (s *sim) chance(p float64) bool { return s.random.Float64() < p }
+
+// post runs f after a random delay, or never.
+func (s *sim) post(f func()) {
+	if s.chance(0.03) {
+		return
+	}
+	delay := time.Duration(s.random.ExpFloat64() * float64(30*time.Millisecond))
+	if s.chance(0.02) {
+		delay = time.Duration(s.random.IntN(4000)) * time.Millisecond
+	}
+	s.queue = append(s.queue, simMessage{s.now.Add(delay), f})
+}
+
+func (s *sim) submit(id, account string, urgent bool) {
+	s.machine.Apply(&wire.Command{At: timestamppb.New(s.now), Body: &wire.Command_SubmitJob{SubmitJob: &wire.SubmitJob{
+		JobId: id, IdempotencyKey: id, Spec: &wire.JobSpec{ClientAccount: account, JobKind: "k", Urgent: urgent},
+	}}})
+	s.leader().planner.Changed()
+}
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(simStep) {
+		s.commitSome()
+		s.deliver()
+		l := s.leader()
+		l.confirmed = s.now
+		l.planner.Turn(s.now)
+		for _, w := range s.workers {
+			s.work(w)
+		}
+	}
+}
+
+// commitSome commits what the leader proposed. An old leader's proposals are
+// lost, and it never hears of them.
+func (s *sim) commitSome() {
+	pending := s.commits
+	s.commits = nil
+	for _, c := range pending {
+		if c.term != s.leader().term {
+			continue
+		}
+		if s.chance(0.3) {
+			s.commits = append(s.commits, c)
+			continue
+		}
+		command := proto.Clone(c.command).(*wire.Command)
+		command.At = timestamppb.New(s.now)
+		c.done(s.machine.Apply(command), nil)
+	}
+}
+
+func (s *sim) deliver() {
+	var due []simMessage
+	s.queue = slices.DeleteFunc(s.queue, func(m simMessage) bool {
+		if m.at.After(s.now) {
+			return false
+		}
+		due = append(due, m)
+		return true
+	})
+	for _, m := range due {
+		m.run()
+	}
+}
+
+func (s *sim) work(w *simWorker) {
+	if s.now.Before(w.frozenUntil) {
+		return
+	}
+	if s.chance(0.0005) {
+		w.frozenUntil = s.now.Add(time.Duration(s.random.IntN(6000)) * time.Millisecond)
+		return
+	}
+	if !s.now.Before(w.leaseEnd) {
+		s.drop(w)
+	}
+	if s.chance(0.0003) {
+		s.drop(w)
+		clear(w.tasks)
+		w.incarnation, w.sequence, w.leaseEnd = w.incarnation+"x", 0, time.Time{}
+	}
+	for _, id := range sortedTasks(w) {
+		s.advance(w, id, w.tasks[id])
+	}
+	if s.chance(0.1) {
+		s.report(w)
+	}
+}
+
+func sortedTasks(w *simWorker) []string {
+	ids := make([]string, 0, len(w.tasks))
+	for id := range w.tasks {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// drop is what a worker does without a lease.
+func (s *sim) drop(w *simWorker) {
+	for _, id := range sortedTasks(w) {
+		if w.tasks[id].ended == nil {
+			s.leave(w, id)
+			delete(w.tasks, id)
+		}
+	}
+}
+
+func (s *sim) leave(w *simWorker, id string) {
+	if s.doing[id] == w.id {
+		delete(s.doing, id)
+	}
+}
+
+func (s *sim) advance(w *simWorker, id string, t *simTask) {
+	if t.ended != nil {
+		return
+	}
+	t.left--
+	if t.left > 0 {
+		return
+	}
+	end := wire.TaskState_TASK_STATE_FINISHED
+	if w.bad {
+		end = wire.TaskState_TASK_STATE_FAILED
+	} else {
+		s.ran[id]++
+	}
+	t.ended = &wire.TaskReport{JobId: id, Attempt: t.order.Attempt, State: end}
+	s.leave(w, id)
+}
+
+func (s *sim) report(w *simWorker) {
+	w.sequence++
+	w.sent[w.sequence] = s.now
+	r := &wire.AttendRequest{Sequence: w.sequence, Worker: &wire.Worker{
+		WorkerId: w.id, Incarnation: w.incarnation, Capacity: &wire.Resources{MilliProcessors: 4000, MemoryBytes: 4},
+	}}
+	for _, id := range sortedTasks(w) {
+		t := w.tasks[id]
+		if t.ended != nil {
+			r.Tasks = append(r.Tasks, t.ended)
+			continue
+		}
+		r.Tasks = append(r.Tasks, &wire.TaskReport{JobId: id, Attempt: t.order.Attempt, State: wire.TaskState_TASK_STATE_RUNNING})
+	}
+	// A report may reach a leader that has a successor.
+	to := s.leaders[max(0, len(s.leaders)-1-s.random.IntN(2))]
+	s.post(func() {
+		to.planner.Report(s.now, r, func(a *wire.WorkerAnswer) { s.post(func() { s.hear(w, a) }) })
+	})
+}
+
+func (s *sim) hear(w *simWorker, a *wire.WorkerAnswer) {
+	if s.now.Before(w.frozenUntil) {
+		s.queue = append(s.queue, simMessage{w.frozenUntil, func() { s.hear(w, a) }})
+		return
+	}
+	if a.Incarnation != w.incarnation || a.Answer.Term < w.term {
+		return
+	}
+	w.term = a.Answer.Term
+	if sent, ok := w.sent[a.Answer.Sequence]; ok && a.Answer.Lease != nil {
+		if end := sent.Add(a.Answer.Lease.AsDuration()); end.After(w.leaseEnd) {
+			w.leaseEnd = end
+		}
+	}
+	for _, o := range a.Answer.Orders {
+		s.obey(w, o)
+	}
+}
+
+// holdsLease tells whether a worker may run tasks now. One that is frozen past
+// its lease runs nothing, and drops its tasks before anything else once thawed.
+func (s *sim) holdsLease(id string) bool {
+	for _, w := range s.workers {
+		if w.id == id {
+			return s.now.Before(w.leaseEnd)
+		}
+	}
+	return false
+}
+
+func (s *sim) obey(w *simWorker, o *wire.TaskOrder) {
+	t := w.tasks[o.JobId]
+	switch o.Kind {
+	case wire.OrderKind_ORDER_KIND_START:
+		if (t != nil && t.order.Attempt >= o.Attempt) || !s.now.Before(w.leaseEnd) {
+			return
+		}
+		if other, busy := s.doing[o.JobId]; busy && other != w.id && s.holdsLease(other) {
+			s.broken = append(s.broken, fmt.Sprintf("%v: job %s starts on %s while it runs on %s", s.now.Sub(time.Unix(1000, 0)), o.JobId, w.id, other))
+		}
+		s.doing[o.JobId] = w.id
+		w.tasks[o.JobId] = &simTask{order: o, left: 5 + s.random.IntN(60)}
+	case wire.OrderKind_ORDER_KIND_STOP:
+		if t != nil && t.order.Attempt == o.Attempt && t.ended == nil {
+			t.ended = &wire.TaskReport{JobId: o.JobId, Attempt: o.Attempt, State: wire.TaskState_TASK_STATE_STOPPED}
+			s.evictions++
+			s.leave(w, o.JobId)
+		}
+	case wire.OrderKind_ORDER_KIND_FORGET:
+		if t != nil && t.order.Attempt <= o.Attempt {
+			s.leave(w, o.JobId)
+			delete(w.tasks, o.JobId)
+		}
+	default:
+	}
+}
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -67,6 +67,10 @@
 		// Send hands messages to the transport. It must not block and may
 		// lose them.
 		Send func(to *wire.ControlMember, messages []*wire.PeerMessage)
+		// Lookup finds a replica that isn't in the membership known here; nil
+		// when it is unknown. A replica that has just joined knows no
+		// members, and must answer the leader all the same.
+		Lookup func(id uint64) *wire.ControlMember
 		// Turn is called on the loop after each turn, with the time.
 		Turn func(now time.Time)
 		// Failed is called once when the disk fails. The process must stop.
--- a/internal/store/node/turn.go
+++ b/internal/store/node/turn.go
@@ -125,6 +125,12 @@
 	for _, member := range n.core.Members().GetMembers() {
 		if batch := byTarget[member.ReplicaId]; len(batch) > 0 {
 			n.options.Send(member, batch)
+			delete(byTarget, member.ReplicaId)
+		}
+	}
+	for id, batch := range byTarget {
+		if member := n.options.Lookup(id); member != nil {
+			n.options.Send(member, batch)
 		}
 	}
 }
--- a/internal/store/peers/found.go
+++ b/internal/store/peers/found.go
@@ -40,6 +40,7 @@
 	mu         sync.Mutex
 	membership *wire.Membership
 	waiting    map[uint64]waitingReplica
+	known      map[uint64]*wire.ControlMember
 }
 
 type waitingReplica struct {
@@ -140,9 +141,30 @@
 	if err != nil {
 		return nil
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.learn(answer.Self)
+	for _, m := range answer.Founding.GetMembers() {
+		f.learn(m)
+	}
 	return answer
 }
 
+func (f *Founder) learn(m *wire.ControlMember) {
+	if f.known == nil {
+		f.known = map[uint64]*wire.ControlMember{}
+	}
+	f.known[m.GetReplicaId()] = m
+}
+
+// Lookup finds a replica by its identity among those heard of; nil when it is
+// unknown.
+func (f *Founder) Lookup(id uint64) *wire.ControlMember {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.known[id]
+}
+
 // joining is what a new folder starts from beside an existing cluster: the
 // whole membership if it lists this identity, else only the cluster's id.
 func joining(m *wire.Membership, id uint64) *wire.Membership {
--- a/internal/store/state/apply.go
+++ b/internal/store/state/apply.go
@@ -122,7 +122,7 @@
 		return fmt.Errorf("%w: it needs %v, the client account's quota is %v", ErrNeverRuns, need, quota)
 	}
 	for _, w := range m.workers {
-		if need.Fits(AmountOf(w.Record.Worker.Capacity)) {
+		if need.Fits(AmountOf(w.Record.Capacity)) {
 			return nil
 		}
 	}
@@ -157,16 +157,16 @@
 func (m *Machine) registerWorker(w *wire.Worker) Result {
 	known := m.workers[w.WorkerId]
 	if known == nil {
-		m.workers[w.WorkerId] = &Worker{Record: &wire.WorkerRecord{Worker: w}, Tasks: map[string]*wire.Job{}}
+		m.addWorker(w)
 		return Result{}
 	}
-	if known.Record.Worker.Incarnation != w.Incarnation && len(known.Tasks) > 0 {
+	if known.Record.Incarnation != w.Incarnation && len(known.Tasks) > 0 {
 		return Result{Err: ErrWorkerBusy}
 	}
 	if !known.Committed.Fits(AmountOf(w.Capacity)) {
 		return Result{Err: ErrNoRoom}
 	}
-	known.Record = &wire.WorkerRecord{Worker: w, QuarantineReason: known.Record.QuarantineReason}
+	known.Record = w
 	return Result{}
 }
 
@@ -187,13 +187,13 @@
 		return ErrNotQueued
 	case p.Attempt != j.Attempt+1:
 		return ErrSuperseded
-	case w == nil || w.Record.Worker.Incarnation != p.WorkerIncarnation:
+	case w == nil || w.Record.Incarnation != p.WorkerIncarnation:
 		return ErrUnknownWorker
-	case w.Record.QuarantineReason != "":
+	case w.Quarantine != "":
 		return ErrQuarantined
 	}
 	need := AmountOf(j.Spec.Resources)
-	if !w.Committed.With(need).Fits(AmountOf(w.Record.Worker.Capacity)) {
+	if !w.Committed.With(need).Fits(AmountOf(w.Record.Capacity)) {
 		return ErrNoRoom
 	}
 	quota := AmountOf(m.accounts[j.Spec.ClientAccount].GetQuota())
@@ -321,7 +321,7 @@
 // with its outcome unknown.
 func (m *Machine) loseWorker(c *wire.Command, l *wire.LoseWorker) Result {
 	w := m.workers[l.WorkerId]
-	if w == nil || w.Record.Worker.Incarnation != l.Incarnation {
+	if w == nil || w.Record.Incarnation != l.Incarnation {
 		return Result{Err: ErrUnknownWorker}
 	}
 	for _, j := range sortedTasks(w) {
@@ -339,14 +339,17 @@
 
 func (m *Machine) quarantine(q *wire.Quarantine) Result {
 	w := m.workers[q.WorkerId]
-	if w == nil {
+	if w == nil && m.quarantines[q.WorkerId] == "" {
 		return Result{Err: ErrUnknownWorker}
 	}
-	reason := q.Reason
 	if q.Release {
-		reason = ""
+		delete(m.quarantines, q.WorkerId)
+	} else {
+		m.quarantines[q.WorkerId] = q.Reason
+	}
+	if w != nil {
+		w.Quarantine = m.quarantines[q.WorkerId]
 	}
-	w.Record = &wire.WorkerRecord{Worker: w.Record.Worker, QuarantineReason: reason}
 	return Result{}
 }
 
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -31,8 +31,10 @@
 type (
 	// Worker is a registered worker and what is committed on it.
 	Worker struct {
-		Record    *wire.WorkerRecord
-		Committed Amount
+		Record *wire.Worker
+		// Quarantine is why it gets no tasks; empty when it may.
+		Quarantine string
+		Committed  Amount
 		// Tasks are the running attempts, by job id.
 		Tasks map[string]*wire.Job
 	}
@@ -52,6 +54,7 @@
 		jobs           map[string]*wire.Job
 		keys           map[string]string
 		workers        map[string]*Worker
+		quarantines    map[string]string
 		dispatches     map[string]*wire.DispatchRecord
 		operations     []*wire.AppliedOperation
 		operationByID  map[string]*wire.AppliedOperation
@@ -77,6 +80,7 @@
 	m.jobs = map[string]*wire.Job{}
 	m.keys = map[string]string{}
 	m.workers = map[string]*Worker{}
+	m.quarantines = map[string]string{}
 	m.dispatches = map[string]*wire.DispatchRecord{}
 	m.operationByID = map[string]*wire.AppliedOperation{}
 	m.used = map[string]Amount{}
@@ -143,6 +147,12 @@
 	return m.workers
 }
 
+// Quarantines returns the reasons by worker id, of workers that aren't
+// registered now as well. It must not be changed.
+func (m *Machine) Quarantines() map[string]string {
+	return m.quarantines
+}
+
 // Used is what an account's running tasks hold.
 func (m *Machine) Used(account string) Amount {
 	return m.used[account]
@@ -188,6 +198,7 @@
 		Operations:     m.operations,
 		NextSequence:   m.nextSequence,
 		Finished:       m.finished,
+		Quarantines:    m.quarantines,
 	}
 	for _, j := range m.jobs {
 		s.Jobs = append(s.Jobs, j)
@@ -196,7 +207,7 @@
 	for _, w := range m.workers {
 		s.Workers = append(s.Workers, w.Record)
 	}
-	sort.Slice(s.Workers, func(i, k int) bool { return s.Workers[i].Worker.WorkerId < s.Workers[k].Worker.WorkerId })
+	sort.Slice(s.Workers, func(i, k int) bool { return s.Workers[i].WorkerId < s.Workers[k].WorkerId })
 	for _, d := range m.dispatches {
 		s.Dispatches = append(s.Dispatches, d)
 	}
@@ -218,8 +229,11 @@
 		m.rememberOperation(o)
 	}
 	m.indexConfiguration()
+	for id, reason := range s.Quarantines {
+		m.quarantines[id] = reason
+	}
 	for _, w := range s.Workers {
-		m.workers[w.Worker.WorkerId] = &Worker{Record: w, Tasks: map[string]*wire.Job{}}
+		m.addWorker(w)
 	}
 	for _, d := range s.Dispatches {
 		m.dispatches[pairKey(d.ClientAccount, d.RequestId)] = d
@@ -238,6 +252,10 @@
 	return nil
 }
 
+func (m *Machine) addWorker(w *wire.Worker) {
+	m.workers[w.WorkerId] = &Worker{Record: w, Quarantine: m.quarantines[w.WorkerId], Tasks: map[string]*wire.Job{}}
+}
+
 func (m *Machine) queueOf(j *wire.Job) *queue {
 	q := m.queues[j.Spec.ClientAccount]
 	if q == nil {
--- a/internal/store/state/state_test.go
+++ b/internal/store/state/state_test.go
@@ -302,11 +302,11 @@
 			assert.Equal(t, holders[job], "", "%s is in two places", job)
 			holders[job] = id
 			assert.Equal(t, j.State, wire.JobState_JOB_STATE_RUNNING)
-			assert.Equal(t, j.WorkerIncarnation, w.Record.Worker.Incarnation)
+			assert.Equal(t, j.WorkerIncarnation, w.Record.Incarnation)
 			sum = sum.With(state.AmountOf(j.Spec.Resources))
 		}
 		assert.Equal(t, sum, w.Committed)
-		assert.Assert(t, sum.Fits(state.AmountOf(w.Record.Worker.Capacity)), "%s is committed beyond its capacity", id)
+		assert.Assert(t, sum.Fits(state.AmountOf(w.Record.Capacity)), "%s is committed beyond its capacity", id)
 		used = used.With(sum)
 	}
 	assert.Equal(t, m.Used("etiketa"), used)
