--- a/internal/itest/cluster_test.go
+++ b/internal/itest/cluster_test.go
@@ -79,8 +79,9 @@
 	}
 )
 
-// newCluster starts replicas and entries and waits until they serve.
-func newCluster(t *testing.T, controls, entries int) *cluster {
+// newCluster starts replicas and entries, with flags that both get, and waits
+// until they serve.
+func newCluster(t *testing.T, controls, entries int, flags ...string) *cluster {
 	t.Helper()
 	t.Parallel()
 	c := &cluster{
@@ -95,10 +96,10 @@
 		c.entries = append(c.entries, c.reserve(fmt.Sprintf("entry-%d", i)))
 	}
 	for _, name := range c.controls {
-		c.start(name, c.controlCommand(name))
+		c.start(name, append(c.controlCommand(name), flags...))
 	}
 	for _, name := range c.entries {
-		c.start(name, c.entryCommand(name))
+		c.start(name, append(c.entryCommand(name), flags...))
 	}
 	for _, e := range c.entries {
 		c.until(e+" serves", func() bool { return len(c.statusAt(e).GetEntries()) == entries })
--- a/internal/run/ctrl/peer.go
+++ b/internal/run/ctrl/peer.go
@@ -18,6 +18,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/base/spans"
 	"sycamoredeck.example/internal/front/uplink"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/node"
@@ -229,6 +230,8 @@
 	if err := s.started(); err != nil {
 		return nil, err
 	}
+	ctx, span := spans.Hop(ctx, "commit")
+	defer span.End()
 	keep := s.clock.Now().Add(r.Timeout.AsDuration() + dispatchGrace)
 	result, err := s.node.Commit(ctx, &wire.Command{Body: &wire.Command_OpenDispatch{OpenDispatch: &wire.DispatchRecord{
 		ClientAccount: r.ClientAccount, RequestId: r.RequestId, EntryId: r.EntryId, Nonce: r.Nonce,
