--- a/internal/itest/config_test.go
+++ b/internal/itest/config_test.go
@@ -108,6 +108,12 @@
 	stale := c.leader()
 	c.kill("entry-1")
 	c.mesh.isolate(stale, "control-0", "control-1", "control-2", "entry-0")
+	t.Run("an unconfirmed leader gives none", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err := wire.NewControlServiceClient(c.at(stale)).FetchConfiguration(ctx, &wire.FetchConfigurationRequest{QuorumConfirmed: true})
+		assert.Assert(t, err != nil)
+	})
 	c.applyNext("entry-0", 2)
 	// The new entry reaches the old leader, which believes that it leads.
 	c.restart("entry-1")
--- a/internal/sched/plan/place.go
+++ b/internal/sched/plan/place.go
@@ -16,6 +16,13 @@
 	// maxSkipped is how many jobs of an account that fit nowhere are passed
 	// over in one pass before the account waits.
 	maxSkipped = 16
+	// maxConsidered is how many workers with room are compared for one job.
+	// The best of so many differs little from the best of all, and the time
+	// of a decision no longer grows with the workers.
+	maxConsidered = 256
+	// seatStride is the distance between workers compared, a prime larger
+	// than a rack or a failure domain's row, so that they are mixed.
+	seatStride = 1009
 	// A job that failed waits firstBackoff before its next attempt, doubled
 	// for each further failure up to maxBackoff.
 	firstBackoff = 100 * time.Millisecond
@@ -66,7 +73,7 @@
 // dominant share first (Ghodsi et al., NSDI 2011), urgent jobs before all.
 func (p *Planner) placePass(now time.Time) {
 	whole := p.usable(now)
-	if len(whole.workers) == 0 {
+	if len(whole.seats) == 0 {
 		return
 	}
 	claimants := p.claimants(now, whole.total)
@@ -91,24 +98,32 @@
 	}
 }
 
-type usableWorkers struct {
-	workers []*state.Worker
-	total   state.Amount
-}
+type (
+	// seat is a worker in one pass. Its sums are kept here, flat, since the
+	// choice looks at every seat for every placement.
+	seat struct {
+		worker         *state.Worker
+		free, capacity state.Amount
+	}
+
+	// usableWorkers are those that hold a lease and may take work.
+	usableWorkers struct {
+		seats []seat
+		total state.Amount
+	}
+)
 
-// usable lists the workers that hold a lease and may take work.
 func (p *Planner) usable(now time.Time) usableWorkers {
-	var u usableWorkers
-	for id, w := range p.options.Machine.Workers() {
-		u.total = u.total.With(state.AmountOf(w.Record.Capacity))
+	u := usableWorkers{seats: make([]seat, 0, len(p.options.Machine.Workers()))}
+	for _, w := range p.options.Machine.SortedWorkers() {
+		id := w.Record.WorkerId
+		capacity := state.AmountOf(w.Record.Capacity)
+		u.total = u.total.With(capacity)
 		if w.Quarantine != "" || p.losing[id] || !p.leases.Held(id, w.Record.Incarnation, now) {
 			continue
 		}
-		u.workers = append(u.workers, w)
+		u.seats = append(u.seats, seat{w, p.free(w), capacity})
 	}
-	sort.Slice(u.workers, func(i, k int) bool {
-		return u.workers[i].Record.WorkerId < u.workers[k].Record.WorkerId
-	})
 	return u
 }
 
@@ -173,40 +188,50 @@
 	if !p.options.Machine.Used(account).With(p.claimed[account]).With(need).FitsQuota(quota) {
 		return nil
 	}
-	w := p.choose(u, j, need)
-	if w == nil {
+	chosen := p.choose(u, j, need)
+	if chosen == nil {
 		if j.Spec.Urgent {
 			p.preempt(u, need)
 		}
 		return nil
 	}
-	id := w.Record.WorkerId
+	chosen.free = chosen.free.WithOut(need)
+	id := chosen.worker.Record.WorkerId
 	p.pending[j.JobId] = pendingPlacement{worker: id, account: account, need: need}
 	p.taken[id] = p.taken[id].With(need)
 	p.claimed[account] = p.claimed[account].With(need)
 	return &wire.Placement{
 		JobId: j.JobId, Attempt: j.Attempt + 1, WorkerId: id,
-		WorkerIncarnation: w.Record.Incarnation,
+		WorkerIncarnation: chosen.worker.Record.Incarnation,
 	}
 }
 
-func (p *Planner) choose(u usableWorkers, j *wire.Job, need state.Amount) *state.Worker {
-	var best *state.Worker
+// choose returns the best of some workers that have room; nil only when none
+// at all has.
+func (p *Planner) choose(u usableWorkers, j *wire.Job, need state.Amount) *seat {
+	var best *seat
 	var bestScore float64
 	siblings := p.siblings(u, j)
-	for _, w := range u.workers {
-		free := p.free(w)
-		if !need.Fits(free) {
+	failedOn := p.health.failedOn[j.JobId]
+	n := len(u.seats)
+	stride := seatStride
+	if n%seatStride == 0 {
+		stride = 1 // or it would come back to the same few
+	}
+	p.cursor += stride
+	for i, seen := 0, 0; i < n && seen < maxConsidered; i++ {
+		s := &u.seats[(p.cursor+i*stride)%n]
+		if !need.Fits(s.free) {
 			continue
 		}
+		seen++
 		score := p.options.Score(Candidate{
-			Job: j, Worker: w, Free: free, Need: need,
-			Capacity:   state.AmountOf(w.Record.Capacity),
-			FailedHere: p.health.failedOn[j.JobId][w.Record.WorkerId],
-			Siblings:   siblings[w.Record.FailureDomain],
+			Job: j, Worker: s.worker, Free: s.free, Need: need, Capacity: s.capacity,
+			FailedHere: len(failedOn) > 0 && failedOn[s.worker.Record.WorkerId],
+			Siblings:   siblings[s.worker.Record.FailureDomain],
 		})
 		if best == nil || score > bestScore {
-			best, bestScore = w, score
+			best, bestScore = s, score
 		}
 	}
 	return best
@@ -224,10 +249,10 @@
 		return nil
 	}
 	counts := map[string]int{}
-	for _, w := range u.workers {
-		for _, t := range w.Tasks {
+	for _, s := range u.seats {
+		for _, t := range s.worker.Tasks {
 			if t.Class == j.Class && t.Spec.ClientAccount == j.Spec.ClientAccount {
-				counts[w.Record.FailureDomain]++
+				counts[s.worker.Record.FailureDomain]++
 			}
 		}
 	}
@@ -239,8 +264,8 @@
 // elsewhere; the urgent job is placed once they have.
 func (p *Planner) preempt(u usableWorkers, need state.Amount) {
 	var victims []*wire.Job
-	for _, w := range u.workers {
-		chosen, ok := p.victims(w, need)
+	for _, s := range u.seats {
+		chosen, ok := p.victims(s.worker, need)
 		if !ok {
 			continue
 		}
--- a/internal/sched/plan/planner.go
+++ b/internal/sched/plan/planner.go
@@ -26,6 +26,10 @@
 	sweepInterval = time.Minute
 	// placeInterval gathers what becomes due into one pass.
 	placeInterval = 2 * time.Millisecond
+	// placeRest is how many times as long as it took a pass is followed by
+	// rest, so that placement leaves the loop to commits and heartbeats
+	// however many workers there are.
+	placeRest = 3
 	// retryInterval brings back passes that found no room, since back-offs
 	// run out by time alone.
 	retryInterval = 250 * time.Millisecond
@@ -93,6 +97,9 @@
 		health         *health
 
 		dirty                          bool
+		passTook                       time.Duration
+		// cursor is where the last choice among workers began.
+		cursor int
 		lastLoss, lastSweep, lastPlace time.Time
 	}
 )
@@ -132,10 +139,12 @@
 		p.options.Propose(&wire.Command{Body: &wire.Command_Sweep{Sweep: &wire.Sweep{}}}, func(state.Result, error) {})
 	}
 	waited := now.Sub(p.lastPlace)
-	if (p.dirty && waited >= placeInterval) || waited >= retryInterval {
+	if (p.dirty && waited >= max(placeInterval, placeRest*p.passTook)) || waited >= retryInterval {
 		p.lastPlace, p.dirty = now, false
+		began := time.Now()
 		p.placePass(now)
-		placeSeconds.UpdateDuration(now)
+		p.passTook = time.Since(began)
+		placeSeconds.Update(p.passTook.Seconds())
 	}
 }
 
--- a/internal/store/state/apply.go
+++ b/internal/store/state/apply.go
@@ -334,6 +334,7 @@
 		m.finish(c, j, wire.JobState_JOB_STATE_OUTCOME_UNKNOWN, "worker lost; the attempt may have finished")
 	}
 	delete(m.workers, l.WorkerId)
+	m.sorted = nil
 	return Result{}
 }
 
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -54,6 +54,7 @@
 		jobs           map[string]*wire.Job
 		keys           map[string]string
 		workers        map[string]*Worker
+		sorted         []*Worker // nil when workers came or went
 		quarantines    map[string]string
 		dispatches     map[string]*wire.DispatchRecord
 		operations     []*wire.AppliedOperation
@@ -79,7 +80,7 @@
 	m.configurations, m.operations = nil, nil
 	m.jobs = map[string]*wire.Job{}
 	m.keys = map[string]string{}
-	m.workers = map[string]*Worker{}
+	m.workers, m.sorted = map[string]*Worker{}, nil
 	m.quarantines = map[string]string{}
 	m.dispatches = map[string]*wire.DispatchRecord{}
 	m.operationByID = map[string]*wire.AppliedOperation{}
@@ -147,6 +148,20 @@
 	return m.workers
 }
 
+// SortedWorkers returns the registered workers in the order of their ids. It
+// must not be changed.
+func (m *Machine) SortedWorkers() []*Worker {
+	if m.sorted == nil {
+		for _, w := range m.workers {
+			m.sorted = append(m.sorted, w)
+		}
+		sort.Slice(m.sorted, func(i, k int) bool {
+			return m.sorted[i].Record.WorkerId < m.sorted[k].Record.WorkerId
+		})
+	}
+	return m.sorted
+}
+
 // Quarantines returns the reasons by worker id, of workers that aren't
 // registered now as well. It must not be changed.
 func (m *Machine) Quarantines() map[string]string {
@@ -253,6 +268,7 @@
 }
 
 func (m *Machine) addWorker(w *wire.Worker) {
+	m.sorted = nil
 	m.workers[w.WorkerId] = &Worker{Record: w, Quarantine: m.quarantines[w.WorkerId], Tasks: map[string]*wire.Job{}}
 }
 
