--- a/internal/base/setup/setup.go
+++ b/internal/base/setup/setup.go
@@ -188,3 +188,11 @@
 	}
 	return nil
 }
+
+// Advertised is the address at which others reach an instance.
+func Advertised(common *wire.CommonSettings) string {
+	if common.AdvertiseAddress != "" {
+		return common.AdvertiseAddress
+	}
+	return common.ListenAddress
+}
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -284,6 +284,18 @@
 	return u.entries
 }
 
+// Addresses are those of all processes that this entry talks to.
+func (u *Uplink) Addresses() map[string]bool {
+	addresses := map[string]bool{}
+	for _, a := range append(u.memberAddresses(), u.options.Addresses...) {
+		addresses[a] = true
+	}
+	for _, e := range u.Entries() {
+		addresses[e.Address] = true
+	}
+	return addresses
+}
+
 func (u *Uplink) memberAddresses() []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -16,11 +16,11 @@
 
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
-	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"sycamoredeck.example/internal/base/admin"
 	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/base/setup"
 	"sycamoredeck.example/internal/base/spans"
 	"sycamoredeck.example/internal/sched/plan"
 	"sycamoredeck.example/internal/schema/wire"
@@ -143,7 +143,7 @@
 		}
 	}
 	common := c.settings.Common
-	c.self = &wire.ControlMember{Name: common.InstanceId, Address: Advertised(common), ReplicaId: durable.Vote.ReplicaId}
+	c.self = &wire.ControlMember{Name: common.InstanceId, Address: setup.Advertised(common), ReplicaId: durable.Vote.ReplicaId}
 	c.founder = &peers.Founder{Self: c.self, Pool: &c.pool}
 	for _, text := range c.settings.FoundingMembers {
 		name, address, _ := strings.Cut(text, "=")
@@ -152,14 +152,6 @@
 	return nil
 }
 
-// Advertised is the address at which others reach an instance.
-func Advertised(common *wire.CommonSettings) string {
-	if common.AdvertiseAddress != "" {
-		return common.AdvertiseAddress
-	}
-	return common.ListenAddress
-}
-
 func (c *Control) found(ctx context.Context, durable *walog.Durable) error {
 	if durable.Snapshot != nil {
 		return nil
@@ -269,20 +261,18 @@
 func (c *Control) stop() {
 	c.admin.SetReady(false)
 	c.handOver()
-	var group errgroup.Group
+	close(c.closing)
 	stopped := make(chan struct{})
-	group.Go(func() error {
+	go func() {
 		c.server.GracefulStop()
 		close(stopped)
-		return nil
-	})
-	close(c.closing)
+	}()
 	select {
 	case <-stopped:
 	case <-c.clock.After(c.settings.Common.DrainTimeout.AsDuration()):
 		c.server.Stop()
 	}
-	_ = group.Wait()
+	<-stopped
 	c.background.Wait()
 	c.node.Stop()
 	c.carrier.Close()
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -20,6 +20,7 @@
 
 	"sycamoredeck.example/internal/base/admin"
 	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/base/setup"
 	"sycamoredeck.example/internal/base/spans"
 	"sycamoredeck.example/internal/fleet/roster"
 	"sycamoredeck.example/internal/fleet/slots"
@@ -84,13 +85,9 @@
 	common := e.settings.Common
 	e.pool.Traced = common.TraceEndpoint != ""
 	e.divider.Store(&slots.Divider{})
-	address := common.AdvertiseAddress
-	if address == "" {
-		address = common.ListenAddress
-	}
 	e.uplink = uplink.New(uplink.Options{
 		Clock: e.clock, Logger: e.logger, Pool: &e.pool, Addresses: e.settings.ControlAddresses,
-		Self:           &wire.EntryStatus{EntryId: common.InstanceId, Address: address, FailureDomain: common.FailureDomain},
+		Self:           &wire.EntryStatus{EntryId: common.InstanceId, Address: setup.Advertised(common), FailureDomain: common.FailureDomain},
 		Configured:     func(v *wire.ConfigurationVersion) { e.calls.Configure(v) },
 		EntriesChanged: e.entriesChanged,
 	})
@@ -216,6 +213,7 @@
 		if now.Sub(lastSecond) >= secondsInterval {
 			lastSecond = now
 			e.uplink.CountTouch()
+			e.pool.Keep(e.uplink.Addresses())
 		}
 	}
 }
