--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -37,6 +37,7 @@
 	announceInterval = time.Second
 	// handoverWait bounds how long a stopping leader waits for a successor.
 	handoverWait = 3 * time.Second
+	handoverPoll = 20 * time.Millisecond
 )
 
 type (
@@ -196,7 +197,7 @@
 		Term:   func() uint64 { return n.Core().Status().Term },
 		Logger: c.logger,
 	})
-	c.publish(time.Time{})
+	c.publish()
 	c.running.Store(true)
 	go n.Run()
 	c.background.Go(c.announceLoop)
@@ -206,10 +207,11 @@
 // turn runs on the loop after each turn of the replica.
 func (c *Control) turn(now time.Time) {
 	c.planner.Turn(now)
-	c.publish(now)
+	c.publish()
 }
 
-func (c *Control) publish(time.Time) {
+// publish renews the view when anything in it has changed.
+func (c *Control) publish() {
 	status := c.node.Core().Status()
 	members := c.node.Core().Members()
 	_, leads := c.node.Leads()
@@ -295,6 +297,6 @@
 		if err != nil || !leads {
 			return
 		}
-		c.clock.Sleep(20 * time.Millisecond)
+		c.clock.Sleep(handoverPoll)
 	}
 }
