--- a/cmd/sycamoredeck/main.go
+++ b/cmd/sycamoredeck/main.go
@@ -8,8 +8,11 @@
 	"os"
 
 	"sycamoredeck.example/internal/cli/cmds"
+	"sycamoredeck.example/platform"
 )
 
 func main() {
-	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr, cmds.Platforms{
+		Entry: platform.Entry(), Control: platform.Control(),
+	}))
 }
--- /dev/null
+++ b/internal/base/setup/file.go
@@ -0,0 +1,43 @@
+// This file defines the settings file.
+
+package setup
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+)
+
+// FileVariable names the environment variable that holds the path of the
+// settings file. What a flag or a variable of its own says goes before what
+// the file says.
+const FileVariable = Prefix + "SETTINGS"
+
+// readFile reads the settings file into values by option name. The file is a
+// JSON object of strings, named as the fields of the settings are.
+func (b *Binder) readFile() (map[string]string, error) {
+	path, ok := b.LookupEnv(FileVariable)
+	if !ok || path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Setting: "settings", Value: path, Allowed: fmt.Sprintf("a file that can be read (%v)", err)}
+	}
+	named := map[string]string{}
+	if err := json.Unmarshal(data, &named); err != nil {
+		return nil, &Error{Setting: "settings", Value: path, Allowed: fmt.Sprintf("a JSON object of strings (%v)", err)}
+	}
+	values := map[string]string{}
+	for name, o := range b.options {
+		field := o.path[len(o.path)-1].JSONName()
+		if value, ok := named[field]; ok {
+			values[name] = value
+			delete(named, field)
+		}
+	}
+	for field, value := range named {
+		return nil, &Error{Setting: field, Value: value, Allowed: "only known settings; this one in " + path + " isn't"}
+	}
+	return values, nil
+}
--- a/internal/base/setup/setup.go
+++ b/internal/base/setup/setup.go
@@ -4,14 +4,16 @@
 // and checks the values by the rules that its schema gives.
 //
 // A setting named DataFolder is the flag --data-folder and the variable
-// SYCAMOREDECK_DATA_FOLDER; the flag goes first. Lists are separated by
-// commas.
+// SYCAMOREDECK_DATA_FOLDER, and the field DataFolder of the settings file; the
+// flag goes first, then the variable. Lists are separated by commas.
 package setup
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/spf13/pflag"
@@ -105,13 +107,17 @@
 	if err := b.refuseUnknown(); err != nil {
 		return err
 	}
+	fromFile, err := b.readFile()
+	if err != nil {
+		return err
+	}
 	names := make([]string, 0, len(b.options))
 	for name := range b.options {
 		names = append(names, name)
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		if err := b.load(name, b.options[name]); err != nil {
+		if err := b.load(name, b.options[name], fromFile); err != nil {
 			return err
 		}
 	}
@@ -135,7 +141,7 @@
 // knownVariables are those of all commands, since one environment may serve
 // several.
 func knownVariables() map[string]bool {
-	known := map[string]bool{}
+	known := map[string]bool{FileVariable: true}
 	messages := wire.File_sycamoredeck_v1_settings_proto.Messages()
 	for i := range messages.Len() {
 		fields := messages.Get(i).Fields()
@@ -147,10 +153,13 @@
 	return known
 }
 
-func (b *Binder) load(name string, o *option) error {
+func (b *Binder) load(name string, o *option, fromFile map[string]string) error {
 	text := *o.value
 	if !b.flags.Changed(name) {
 		text = o.rule.Fallback
+		if value, ok := fromFile[name]; ok {
+			text = value
+		}
 		if fromEnv, ok := b.LookupEnv(variable(name)); ok {
 			text = fromEnv
 		}
@@ -196,3 +205,16 @@
 	}
 	return common.ListenAddress
 }
+
+// Seeds are the addresses at which the control replicas that the settings name
+// serve gRPC.
+func Seeds(s *wire.SeedSettings) []string {
+	var seeds []string
+	for _, address := range s.GetSeedAddresses() {
+		if host, _, err := net.SplitHostPort(address); err == nil && s.SeedPort != 0 {
+			address = net.JoinHostPort(host, strconv.FormatUint(uint64(s.SeedPort), 10))
+		}
+		seeds = append(seeds, address)
+	}
+	return seeds
+}
--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -44,9 +44,17 @@
 		reason string
 	}
 
+	// Platforms connect the daemons with what lies outside and doesn't speak
+	// their gRPC interface. The zero value connects with nothing.
+	Platforms struct {
+		Entry   entry.Platform
+		Control ctrl.Platform
+	}
+
 	// program is what the commands share.
 	program struct {
-		out, err io.Writer
+		out, err  io.Writer
+		platforms Platforms
 	}
 )
 
@@ -57,10 +65,10 @@
 func (e *outcomeError) Error() string { return e.reason }
 
 // Main runs one command line and returns its exit code.
-func Main(args []string, out, errOut io.Writer) int {
+func Main(args []string, out, errOut io.Writer, platforms Platforms) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	p := &program{out: out, err: errOut}
+	p := &program{out: out, err: errOut, platforms: platforms}
 	root := p.root()
 	root.SetArgs(args)
 	root.SetOut(out)
@@ -160,13 +168,13 @@
 
 func (p *program) entryCommand() *cobra.Command {
 	return daemon("entry", "Run an entry process", &wire.EntrySettings{}, func(ctx context.Context, s *wire.EntrySettings) error {
-		return entry.Run(ctx, s, admin.Logger(p.err, s.Common))
+		return entry.Run(ctx, s, admin.Logger(p.out, s.Common), p.platforms.Entry)
 	})
 }
 
 func (p *program) controlCommand() *cobra.Command {
 	return daemon("control", "Run a control process", &wire.ControlSettings{}, func(ctx context.Context, s *wire.ControlSettings) error {
-		return ctrl.Run(ctx, s, admin.Logger(p.err, s.Common))
+		return ctrl.Run(ctx, s, admin.Logger(p.out, s.Common), p.platforms.Control)
 	})
 }
 
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -19,9 +19,11 @@
 	"google.golang.org/grpc"
 
 	"sycamoredeck.example/internal/base/admin"
+	"sycamoredeck.example/internal/base/boot"
 	"sycamoredeck.example/internal/base/link"
 	"sycamoredeck.example/internal/base/setup"
 	"sycamoredeck.example/internal/base/spans"
+	"sycamoredeck.example/internal/sched/drive"
 	"sycamoredeck.example/internal/sched/plan"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/node"
@@ -48,6 +50,9 @@
 		term    uint64
 		version uint64
 		members []*wire.ControlMember
+		// safe tells that enough replicas vote to survive the losses that the
+		// settings name.
+		safe bool
 		// changed is closed when a newer view takes its place.
 		changed chan struct{}
 	}
@@ -66,6 +71,8 @@
 		node     *node.Node
 		machine  *state.Machine
 		planner  *plan.Planner
+		platform Platform
+		engine   *drive.Engine
 		server   *grpc.Server
 		view     atomic.Pointer[view]
 		entries  entryTable
@@ -76,16 +83,18 @@
 
 		// seenMembers is the membership the view was made from.
 		seenMembers *wire.Membership
-		closing     chan struct{}
-		background  sync.WaitGroup
+		// membershipAt is when the membership was last looked after.
+		membershipAt time.Time
+		closing      chan struct{}
+		background   sync.WaitGroup
 	}
 )
 
 // Run serves until the context ends, then hands over and stops. It returns an
 // error when the start or the disk fails.
-func Run(ctx context.Context, settings *wire.ControlSettings, logger *slog.Logger) error {
+func Run(ctx context.Context, settings *wire.ControlSettings, logger *slog.Logger, platform Platform) error {
 	c := &Control{
-		settings: settings, logger: logger, clock: clockwork.NewRealClock(),
+		settings: settings, logger: logger, platform: platform, clock: clockwork.NewRealClock(),
 		failed: make(chan error, 1), closing: make(chan struct{}),
 	}
 	flush, err := spans.Start(ctx, "control", settings.Common)
@@ -96,6 +105,12 @@
 	if err := c.start(ctx); err != nil {
 		return err
 	}
+	logger.Info("started", "replica", c.self.ReplicaId, "address", c.self.Address)
+	stopServing, err := c.servePlatform()
+	if err != nil {
+		return err
+	}
+	defer stopServing()
 	select {
 	case <-ctx.Done():
 		c.stop()
@@ -145,11 +160,14 @@
 	}
 	common := c.settings.Common
 	c.self = &wire.ControlMember{Name: common.InstanceId, Address: setup.Advertised(common), ReplicaId: durable.Vote.ReplicaId}
-	c.founder = &peers.Founder{Self: c.self, Pool: &c.pool}
+	c.founder = &peers.Founder{Self: c.self, Pool: &c.pool, JoinOnly: c.settings.FirstStart == "false"}
 	for _, text := range c.settings.FoundingMembers {
 		name, address, _ := strings.Cut(text, "=")
 		c.founder.Members = append(c.founder.Members, &wire.ControlMember{Name: name, Address: address})
 	}
+	for _, address := range setup.Seeds(c.settings.Seeds) {
+		c.founder.Members = append(c.founder.Members, &wire.ControlMember{Name: address, Address: address})
+	}
 	return nil
 }
 
@@ -197,6 +215,7 @@
 		Term:   func() uint64 { return n.Core().Status().Term },
 		Logger: c.logger,
 	})
+	c.startEngine()
 	c.publish()
 	c.running.Store(true)
 	go n.Run()
@@ -207,6 +226,8 @@
 // turn runs on the loop after each turn of the replica.
 func (c *Control) turn(now time.Time) {
 	c.planner.Turn(now)
+	c.engine.Turn(boot.Now())
+	c.tendMembership(now)
 	c.publish()
 }
 
@@ -218,14 +239,15 @@
 	old := c.view.Load()
 	version := c.machine.Configuration().Version
 	leader := addressOf(members, status.Leader)
-	unchanged := old.leads == leads && old.term == status.Term && old.version == version && old.leader == leader
+	safe := c.enoughVoters(members)
+	unchanged := old.leads == leads && old.term == status.Term && old.version == version && old.leader == leader && old.safe == safe
 	if unchanged && c.seenMembers == members {
 		return
 	}
 	c.seenMembers = members
 	c.founder.SetMembership(members)
 	c.admin.SetReady(leader != "")
-	c.view.Store(&view{leads: leads, leader: leader, term: status.Term, version: version, members: members.GetMembers(), changed: make(chan struct{})})
+	c.view.Store(&view{leads: leads, leader: leader, term: status.Term, version: version, members: members.GetMembers(), safe: safe, changed: make(chan struct{})})
 	close(old.changed)
 }
 
--- /dev/null
+++ b/internal/run/ctrl/member.go
@@ -0,0 +1,110 @@
+// This file defines how the membership looks after itself.
+
+package ctrl
+
+import (
+	"errors"
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/quorum"
+)
+
+const (
+	// membershipInterval is how often the leader looks at who waits to be let
+	// in.
+	membershipInterval = 100 * time.Millisecond
+	// maxMembers bounds voters and learners together. Learners beyond the
+	// voters only follow; each costs the leader its share of messages.
+	maxMembers = 9
+)
+
+// enoughVoters tells whether all that is acknowledged survives the losses that
+// the settings name. Before that nothing may be acknowledged.
+func (c *Control) enoughVoters(m *wire.Membership) bool {
+	if c.settings.ToleratedLosses == 0 {
+		return true
+	}
+	return countVoters(m) >= c.wantedVoters()
+}
+
+func (c *Control) wantedVoters() int { return 2*int(c.settings.ToleratedLosses) + 1 }
+
+func countVoters(m *wire.Membership) int {
+	voters := 0
+	for _, member := range m.GetMembers() {
+		if member.Voter {
+			voters++
+		}
+	}
+	return voters
+}
+
+// tendMembership lets replicas in without an operator, one change at a time:
+// a replica that lost its disk takes the place of its old identity, others
+// vote until there are enough.
+func (c *Control) tendMembership(now time.Time) {
+	if c.settings.ToleratedLosses == 0 || now.Sub(c.membershipAt) < membershipInterval {
+		return
+	}
+	c.membershipAt = now
+	core := c.node.Core()
+	if _, leads := c.node.Leads(); !leads || core.Settled() != nil {
+		return
+	}
+	change, err := c.nextChange(core.Members())
+	if change == "" {
+		return
+	}
+	if err != nil && !errors.Is(err, quorum.ErrBehind) {
+		c.logger.Warn("membership not changed", "change", change, "error", err)
+		return
+	}
+	if err == nil {
+		c.logger.Info("membership changes", "change", change, "voters", countVoters(core.Members()))
+	}
+}
+
+// nextChange makes one change that is due, and names it.
+func (c *Control) nextChange(m *wire.Membership) (string, error) {
+	core := c.node.Core()
+	for _, learner := range m.Members {
+		if learner.Voter {
+			continue
+		}
+		if newer := c.waitingAt(learner.Address); newer != nil {
+			return "remove learner " + learner.Name + ", whose disk is gone", core.Remove(learner.ReplicaId)
+		}
+		if old := voterAt(m, learner.Address); old != nil {
+			return "replace the lost disk of " + old.Name, core.Replace(old.ReplicaId, learner.ReplicaId)
+		}
+		if countVoters(m) < c.wantedVoters() {
+			return "give " + learner.Name + " a vote", core.Promote(learner.ReplicaId)
+		}
+	}
+	for _, w := range c.founder.Waiting() {
+		if len(m.Members) < maxMembers || voterAt(m, w.Address) != nil {
+			return "let " + w.Name + " learn", core.AddLearner(w)
+		}
+	}
+	return "", nil
+}
+
+// waitingAt returns the replica at an address that asks to be let in, or nil.
+func (c *Control) waitingAt(address string) *wire.ControlMember {
+	for _, w := range c.founder.Waiting() {
+		if w.Address == address {
+			return w
+		}
+	}
+	return nil
+}
+
+func voterAt(m *wire.Membership, address string) *wire.ControlMember {
+	for _, member := range m.Members {
+		if member.Voter && member.Address == address {
+			return member
+		}
+	}
+	return nil
+}
--- a/internal/run/ctrl/peer.go
+++ b/internal/run/ctrl/peer.go
@@ -77,6 +77,7 @@
 	wire.RegisterControlServiceServer(c.server, &controlService{Control: c})
 	wire.RegisterJobServiceServer(c.server, &jobService{Control: c})
 	wire.RegisterOperatorServiceServer(c.server, &operatorService{Control: c})
+	wire.RegisterWorkServiceServer(c.server, &workService{Control: c})
 }
 
 // started tells callers who come before the cluster is founded to come again.
--- /dev/null
+++ b/internal/run/ctrl/work.go
@@ -0,0 +1,328 @@
+// This file defines how a control replica serves jobs of steps and reaches
+// runners.
+
+package ctrl
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"sycamoredeck.example/internal/base/boot"
+	"sycamoredeck.example/internal/front/desk"
+	"sycamoredeck.example/internal/sched/drive"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+	"sycamoredeck.example/internal/store/node"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	// forgetInterval is how often jobs that ended long ago are looked for.
+	forgetInterval = 10 * time.Second
+)
+
+type (
+	// Platform connects a control process with runners and operators that
+	// don't speak its gRPC interface. The zero value connects with none.
+	Platform struct {
+		// Carry takes an order to its runner and returns what became of it. It
+		// is called on a goroutine of its own.
+		Carry func(context.Context, drive.Order) drive.Answer
+		// Serve starts to serve operators and runners, and returns how to stop.
+		Serve func(*wire.ControlSettings, desk.Desk) (stop func(), err error)
+	}
+
+	workService struct {
+		wire.UnimplementedWorkServiceServer
+		*Control
+	}
+)
+
+var _ wire.WorkServiceServer = (*workService)(nil)
+
+func (c *Control) startEngine() {
+	c.engine = drive.New(drive.Options{
+		Graph: c.machine.Graph(), Propose: c.node.Propose,
+		Leads: c.drives, Send: c.carry, Wall: time.Now,
+		Lease: c.settings.RunnerLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
+		Logger: c.logger,
+	})
+	c.background.Go(c.forgetLoop)
+}
+
+// drives tells, on the loop, the term in which this replica may drive runners.
+func (c *Control) drives() (uint64, bool) {
+	_, leads := c.node.Leads()
+	core := c.node.Core()
+	return core.Status().Term, leads && c.platform.Carry != nil && c.enoughVoters(core.Members())
+}
+
+// carry has an order taken to its runner. The right to lead is checked last:
+// an order of a leader that was frozen or cut off must not leave beside those
+// of the next one.
+func (c *Control) carry(o drive.Order) {
+	go func() {
+		answer := drive.Answer{Order: o, Verdict: drive.Unsent, Detail: "no right to lead"}
+		if c.node.RightToLead(o.Fence) {
+			answer = c.platform.Carry(context.Background(), o)
+			answer.Order = o
+		}
+		c.node.Post(func() { c.engine.Answered(boot.Now(), answer) })
+	}()
+}
+
+func (c *Control) servePlatform() (func(), error) {
+	if c.platform.Serve == nil {
+		return func() {}, nil
+	}
+	return c.platform.Serve(c.settings, c.desk())
+}
+
+// desk answers here while this replica leads, and asks the leader otherwise.
+func (c *Control) desk() desk.Desk {
+	local := &workService{Control: c}
+	remote := desk.Remote(func() (desk.Conn, error) {
+		leader := c.view.Load().leader
+		if leader == "" || leader == c.self.Address {
+			return nil, status.Error(codes.Unavailable, notDone+"no control leader is known")
+		}
+		return c.pool.Conn(leader)
+	})
+	return desk.Choose(func() bool { return c.view.Load().leads }, desk.Local(local), remote)
+}
+
+// ready tells whether this replica may acknowledge anything.
+func (s *workService) ready() error {
+	if err := s.started(); err != nil {
+		return err
+	}
+	v := s.view.Load()
+	if !v.leads {
+		return status.Error(codes.Unavailable, notDone+"not the leader")
+	}
+	if !v.safe {
+		return status.Error(codes.Unavailable, notDone+"too few control replicas vote yet")
+	}
+	return nil
+}
+
+// commit has a command about jobs committed and gives what it came to.
+func (s *workService) commit(ctx context.Context, c *wire.WorkCommand) (state.Result, error) {
+	result, err := s.node.Commit(ctx, &wire.Command{Body: &wire.Command_Work{Work: c}})
+	return result, turned(err)
+}
+
+// read runs f on the loop while this replica surely leads. While a confirmed
+// round is fresh no other can, and no round has to be waited for.
+func (s *workService) read(ctx context.Context, f func()) error {
+	done := false
+	err := s.node.Do(ctx, func() {
+		_, leads := s.node.Leads()
+		if leads && s.node.RightToLead(s.node.Core().Status().Term) {
+			f()
+			done = true
+		}
+	})
+	if err != nil || done {
+		return turned(err)
+	}
+	return turned(s.node.Read(ctx, f))
+}
+
+// SubmitWork commits a job.
+func (s *workService) SubmitWork(ctx context.Context, r *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error) {
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	queue, id, err := s.find(ctx, r.Target)
+	if err != nil {
+		return nil, err
+	}
+	if queue == "" {
+		return &wire.SubmitWorkResponse{Answer: wire.WorkAnswer_WORK_ANSWER_UNKNOWN_QUEUE}, nil
+	}
+	for _, err := range []error{graph.CheckID(id), graph.CheckSpec(r.Spec)} {
+		if err != nil {
+			return &wire.SubmitWorkResponse{Answer: wire.WorkAnswer_WORK_ANSWER_INVALID, Reason: err.Error()}, nil
+		}
+	}
+	result, err := s.commit(ctx, &wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: id, Queue: queue, Spec: r.Spec}}})
+	if err != nil {
+		s.logger.Info("job not known to be accepted", "job", id, "queue", queue, "error", err)
+		return nil, err
+	}
+	answer := &wire.SubmitWorkResponse{Answer: answerOf(result.Err)}
+	if result.Err != nil {
+		answer.Reason = result.Err.Error()
+	}
+	s.logger.Info("job submitted", "job", id, "queue", queue, "steps", len(r.Spec.Steps), "answer", answer.Answer.String(), "reason", answer.Reason)
+	return answer, nil
+}
+
+// find tells which queue a target names, and the rest of its path.
+func (s *workService) find(ctx context.Context, target *wire.WorkTarget) (queue, rest string, err error) {
+	err = s.read(ctx, func() {
+		q, r := s.machine.Graph().Match(target.GetHost(), target.GetPath())
+		if q != nil {
+			queue, rest = q.Name, r
+		}
+	})
+	return queue, rest, err
+}
+
+func answerOf(err error) wire.WorkAnswer {
+	switch {
+	case err == nil:
+		return wire.WorkAnswer_WORK_ANSWER_DONE
+	case errors.Is(err, graph.ErrUnknownQueue):
+		return wire.WorkAnswer_WORK_ANSWER_UNKNOWN_QUEUE
+	case errors.Is(err, graph.ErrUnknownJob):
+		return wire.WorkAnswer_WORK_ANSWER_UNKNOWN_JOB
+	case errors.Is(err, graph.ErrOtherContent):
+		return wire.WorkAnswer_WORK_ANSWER_CONFLICT
+	default:
+		return wire.WorkAnswer_WORK_ANSWER_INVALID
+	}
+}
+
+// InspectWork gives a job's state, or a queue's pending jobs.
+func (s *workService) InspectWork(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	answer := &wire.InspectWorkResponse{Answer: wire.WorkAnswer_WORK_ANSWER_UNKNOWN_QUEUE}
+	err := s.read(ctx, func() {
+		g := s.machine.Graph()
+		q, id := g.Match(r.Target.GetHost(), r.Target.GetPath())
+		if q == nil {
+			return
+		}
+		answer.Answer = wire.WorkAnswer_WORK_ANSWER_DONE
+		if id == "" {
+			answer.Pending = uint64(g.Pending(q.Name))
+			return
+		}
+		j := g.Job(id)
+		if j == nil || j.Queue != q.Name {
+			answer.Answer = wire.WorkAnswer_WORK_ANSWER_UNKNOWN_JOB
+			return
+		}
+		answer.State = j.State
+	})
+	if err != nil {
+		return nil, err
+	}
+	return answer, nil
+}
+
+// CancelWork commits a job's cancellation. Its runs are stopped after that.
+func (s *workService) CancelWork(ctx context.Context, r *wire.CancelWorkRequest) (*wire.CancelWorkResponse, error) {
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	queue, id, err := s.find(ctx, r.Target)
+	if err != nil {
+		return nil, err
+	}
+	if queue == "" {
+		return &wire.CancelWorkResponse{Answer: wire.WorkAnswer_WORK_ANSWER_UNKNOWN_QUEUE}, nil
+	}
+	result, err := s.commit(ctx, &wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: id}}})
+	if err != nil {
+		return nil, err
+	}
+	s.logger.Info("job cancelled", "job", id, "queue", queue, "error", result.Err)
+	return &wire.CancelWorkResponse{Answer: answerOf(result.Err)}, nil
+}
+
+// PutCatalog commits a catalog. One that isn't newer is acknowledged and
+// changes nothing: it is a resend, or was overtaken.
+func (s *workService) PutCatalog(ctx context.Context, r *wire.PutCatalogRequest) (*wire.PutCatalogResponse, error) {
+	if err := graph.CheckCatalog(r.Catalog); err != nil {
+		s.logger.Info("catalog refused", "version", r.Catalog.Version, "error", err)
+		return &wire.PutCatalogResponse{Answer: wire.WorkAnswer_WORK_ANSWER_INVALID, Reason: err.Error()}, nil
+	}
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	answer := &wire.PutCatalogResponse{Answer: wire.WorkAnswer_WORK_ANSWER_DONE}
+	held := false
+	err := s.read(ctx, func() {
+		answer.Version = s.machine.Graph().Catalog().Version
+		held = answer.Version >= r.Catalog.Version
+	})
+	if err != nil {
+		return nil, err
+	}
+	if held {
+		s.logger.Info("catalog not newer", "version", r.Catalog.Version, "in_force", answer.Version)
+		return answer, nil
+	}
+	if _, err := s.commit(ctx, &wire.WorkCommand{Body: &wire.WorkCommand_PutCatalog{PutCatalog: r.Catalog}}); err != nil {
+		return nil, err
+	}
+	answer.Version = r.Catalog.Version
+	s.logger.Info("catalog accepted", "version", r.Catalog.Version, "queues", len(r.Catalog.Queues), "pools", len(r.Catalog.Pools))
+	return answer, nil
+}
+
+// GetCatalog gives the catalog in force, none being newer.
+func (s *workService) GetCatalog(ctx context.Context, _ *wire.GetCatalogRequest) (*wire.GetCatalogResponse, error) {
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	answer := &wire.GetCatalogResponse{}
+	err := s.read(ctx, func() { answer.Catalog = s.machine.Graph().Catalog() })
+	return answer, err
+}
+
+// ReportRunner takes a heartbeat.
+func (s *workService) ReportRunner(ctx context.Context, r *wire.ReportRunnerRequest) (*wire.ReportRunnerResponse, error) {
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	done := make(chan error, 1)
+	if !s.node.Post(func() { s.engine.Reported(boot.Now(), r, func(err error) { done <- err }) }) {
+		return nil, turned(node.ErrStopped)
+	}
+	select {
+	case err := <-done:
+		if errors.Is(err, drive.ErrNotDriving) {
+			err = node.ErrNotLeader
+		}
+		if err != nil {
+			return nil, turned(err)
+		}
+		return &wire.ReportRunnerResponse{LeaderAddress: s.settings.GetWeb().GetWebAddress()}, nil
+	case <-ctx.Done():
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+}
+
+// forgetLoop drops what ended longer ago than it must be known.
+func (c *Control) forgetLoop() {
+	for {
+		select {
+		case <-c.closing:
+			return
+		case <-c.clock.After(forgetInterval):
+		}
+		before := c.clock.Now().Add(-c.settings.WorkRetention.AsDuration())
+		c.node.Post(func() {
+			if _, leads := c.node.Leads(); !leads || !c.machine.Graph().Overdue(before) {
+				return
+			}
+			command := &wire.WorkCommand{Body: &wire.WorkCommand_Forget{Forget: &wire.ForgetWork{EndedBefore: timestamppb.New(before)}}}
+			c.node.Propose(&wire.Command{Body: &wire.Command_Work{Work: command}}, func(_ state.Result, err error) {
+				if err != nil {
+					c.logger.Info("ended jobs not forgotten yet", "error", err)
+				}
+			})
+		})
+	}
+}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -25,6 +25,7 @@
 	"sycamoredeck.example/internal/fleet/roster"
 	"sycamoredeck.example/internal/fleet/slots"
 	"sycamoredeck.example/internal/front/calls"
+	"sycamoredeck.example/internal/front/desk"
 	"sycamoredeck.example/internal/front/fence"
 	"sycamoredeck.example/internal/front/relay"
 	"sycamoredeck.example/internal/front/route"
@@ -43,8 +44,18 @@
 	secondsInterval = time.Second
 )
 
+// Platform connects an entry with clients that don't speak its gRPC interface.
+// The zero value connects with none.
+type Platform struct {
+	// Serve starts to serve clients from a desk, and tells the platform's
+	// balancer whether the entry is ready. It returns how to stop, which waits
+	// for what is under way.
+	Serve func(s *wire.EntrySettings, d desk.Desk, ready func() bool) (stop func(), err error)
+}
+
 // Entry is one running entry process.
 type Entry struct {
+	platform Platform
 	settings *wire.EntrySettings
 	logger   *slog.Logger
 	clock    clockwork.Clock
@@ -63,8 +74,8 @@
 }
 
 // Run serves until the context ends, then finishes what is in flight.
-func Run(ctx context.Context, settings *wire.EntrySettings, logger *slog.Logger) error {
-	e := &Entry{settings: settings, logger: logger, clock: clockwork.NewRealClock(), closing: make(chan struct{})}
+func Run(ctx context.Context, settings *wire.EntrySettings, logger *slog.Logger, platform Platform) error {
+	e := &Entry{platform: platform, settings: settings, logger: logger, clock: clockwork.NewRealClock(), closing: make(chan struct{})}
 	flush, err := spans.Start(ctx, "entry", settings.Common)
 	if err != nil {
 		return err
@@ -78,7 +89,31 @@
 	if err := e.admin.Start(settings.Common.AdminAddress); err != nil {
 		return err
 	}
-	return e.serve(ctx, listener)
+	stopPlatform := func() {}
+	if platform.Serve != nil {
+		if stopPlatform, err = platform.Serve(settings, e.desk(), e.admin.Ready); err != nil {
+			return err
+		}
+	}
+	logger.Info("started", "address", settings.Common.ListenAddress, "control", e.controlAddresses())
+	return e.serve(ctx, listener, stopPlatform)
+}
+
+// controlAddresses are those at which the settings say that control replicas
+// serve.
+func (e *Entry) controlAddresses() []string {
+	return append(setup.Seeds(e.settings.Seeds), e.settings.ControlAddresses...)
+}
+
+// desk has the leader deal with clients of the platform, and the next leader
+// while it changes.
+func (e *Entry) desk() desk.Desk {
+	return desk.Over(func(ctx context.Context, once func(context.Context, desk.Conn) error) error {
+		_, err := uplink.Ask(ctx, e.uplink, struct{}{}, func(ctx context.Context, conn *grpc.ClientConn, _ struct{}) (struct{}, error) {
+			return struct{}{}, once(ctx, conn)
+		})
+		return err
+	})
 }
 
 func (e *Entry) build() {
@@ -86,7 +121,7 @@
 	e.pool.Traced = common.TraceEndpoint != ""
 	e.divider.Store(&slots.Divider{})
 	e.uplink = uplink.New(uplink.Options{
-		Clock: e.clock, Logger: e.logger, Pool: &e.pool, Addresses: e.settings.ControlAddresses,
+		Clock: e.clock, Logger: e.logger, Pool: &e.pool, Addresses: e.controlAddresses(),
 		Self:           &wire.EntryStatus{EntryId: common.InstanceId, Address: setup.Advertised(common), FailureDomain: common.FailureDomain},
 		Configured:     func(v *wire.ConfigurationVersion) { e.calls.Configure(v) },
 		EntriesChanged: e.entriesChanged,
@@ -125,7 +160,7 @@
 	e.calls.Resize()
 }
 
-func (e *Entry) serve(ctx context.Context, listener net.Listener) error {
+func (e *Entry) serve(ctx context.Context, listener net.Listener, stopPlatform func()) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, background := errgroup.WithContext(background)
@@ -137,7 +172,7 @@
 	go func() { served <- e.server.Serve(listener) }()
 	select {
 	case <-ctx.Done():
-		e.drain()
+		e.drain(stopPlatform)
 	case err := <-served:
 		cancel()
 		return trace.Wrap(err)
@@ -153,7 +188,7 @@
 // drain stops without cutting anything off: the balancer is told first and
 // callers are still taken while it notices; then the port closes and what is
 // in flight is finished.
-func (e *Entry) drain() {
+func (e *Entry) drain(stopPlatform func()) {
 	e.logger.Info("draining")
 	e.draining.Store(true)
 	e.setReady(false)
@@ -162,6 +197,7 @@
 	close(e.closing)
 	stopped := make(chan struct{})
 	go func() {
+		stopPlatform()
 		e.server.GracefulStop()
 		close(stopped)
 	}()
--- /dev/null
+++ b/internal/sched/drive/clock.go
@@ -0,0 +1,68 @@
+// This file defines how a runner's clock and the ends of its leases are known.
+
+package drive
+
+import "time"
+
+const (
+	// slowPercent is how much slower than ours a runner's clock may go; from
+	// the platform's description of its runners.
+	slowPercent = 2
+	// lapseSlack covers timers that fire late on the runner.
+	lapseSlack = 200 * time.Millisecond
+	// earlierLeader is how long after this leader's election an order of an
+	// earlier one may still have been sent: its right to lead ends before the
+	// election, so this covers only the time from its check to the wire.
+	earlierLeader = 1500 * time.Millisecond
+)
+
+// runnerClock is what is known of one incarnation's clock and of the deadlines
+// that were sent to it.
+type runnerClock struct {
+	known   bool
+	reading time.Duration // the runner's clock
+	readAt  time.Duration // boot time at which the reading had arrived
+	// deadline is the highest ever sent in this term, answered or not: an
+	// order without an answer may have been carried out.
+	deadline time.Duration
+}
+
+// note takes a reading. A reading that is overtaken by a later one is older
+// than it and is left out.
+func (c *runnerClock) note(reading, now time.Duration) {
+	if c.known && reading <= c.reading {
+		return
+	}
+	c.known, c.reading, c.readAt = true, reading, now
+}
+
+// at is the latest that the runner's clock may show now.
+func (c *runnerClock) at(now time.Duration) time.Duration {
+	return c.reading + now - c.readAt
+}
+
+// grant returns the deadline for an order sent now, and remembers it; 0 while
+// the clock isn't known.
+func (c *runnerClock) grant(now, lease time.Duration) time.Duration {
+	if !c.known {
+		return 0
+	}
+	d := (c.at(now) + lease).Truncate(time.Millisecond)
+	c.deadline = max(c.deadline, d)
+	return d
+}
+
+// lapsed tells whether every lease on the runner has surely run out: those
+// that this leader sent by the runner's clock at its slowest, those of earlier
+// leaders by the longest lease since they could last send one.
+func (c *runnerClock) lapsed(now, ledSince, lease time.Duration) bool {
+	earlier := (earlierLeader + lease) * 100 / (100 - slowPercent)
+	if now < ledSince+earlier+lapseSlack {
+		return false
+	}
+	if c.deadline == 0 {
+		return true
+	}
+	slowest := c.reading + (now-c.readAt)*(100-slowPercent)/100
+	return slowest > c.deadline+lapseSlack
+}
--- /dev/null
+++ b/internal/sched/drive/engine.go
@@ -0,0 +1,208 @@
+// This file defines Engine, its start and its turn.
+
+// Package drive is what the leader does to have jobs of steps run: it keeps
+// leases on runners, places tasks, orders starts and stops and settles what
+// became of orders without an answer.
+//
+// Engine is plain data with rules: time, commits and answers come in, orders
+// and proposals go out. It belongs to one goroutine. All that it knows beside
+// the replicated state is soft and is learned anew by each leader.
+package drive
+
+import (
+	"log/slog"
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+	"sycamoredeck.example/internal/store/state"
+)
+
+type (
+	// Options are fixed for the life of an Engine.
+	Options struct {
+		Graph *graph.Graph
+		// Propose has a command committed; done is called on the goroutine
+		// that the engine belongs to.
+		Propose func(command *wire.Command, done func(state.Result, error))
+		// Leads tells the term in which this replica leads and has applied all
+		// that earlier leaders committed.
+		Leads func() (term uint64, ok bool)
+		// Send hands an order over without blocking. Its answer comes back
+		// through Answered.
+		Send func(Order)
+		// Wall is the time of day, for work that is due at one.
+		Wall func() time.Time
+		// Lease is how long a runner may run on without hearing from the
+		// leader, StopGrace how long it takes at most to stop a run.
+		Lease, StopGrace time.Duration
+		Logger           *slog.Logger
+	}
+
+	// Engine drives the runners while this replica leads.
+	Engine struct {
+		options Options
+		graph   *graph.Graph
+		term    uint64 // in which it drives; 0 when it doesn't
+		since   time.Duration
+		now     time.Duration
+		runners map[string]*runner
+		runs    map[*graph.Task]*run
+		// dirty tells that something to place or a place may have come up.
+		dirty     bool
+		placing   bool
+		nextTimed time.Duration
+		learned   learning
+	}
+)
+
+// timedInterval is how often work that is due by the time of day is looked for.
+const timedInterval = 50 * time.Millisecond
+
+// New returns an engine that doesn't drive yet.
+func New(options Options) *Engine {
+	e := &Engine{options: options, graph: options.Graph}
+	e.graph.Changed = func() { e.dirty = true }
+	e.forget()
+	return e
+}
+
+func (e *Engine) forget() {
+	e.runners = map[string]*runner{}
+	e.runs = map[*graph.Task]*run{}
+	e.placing = false
+	e.dirty = true
+}
+
+// Turn does what has become due. Now is the boot clock.
+func (e *Engine) Turn(now time.Duration) {
+	e.now = now
+	term, leads := e.options.Leads()
+	if !leads {
+		if e.term != 0 {
+			e.options.Logger.Info("driving ends: leadership lost", "term", e.term)
+			e.term = 0
+			e.forget()
+		}
+		return
+	}
+	if term != e.term {
+		e.adopt(term)
+	}
+	if e.dirty || now >= e.nextTimed {
+		e.followGraph()
+	}
+	for _, r := range e.runners {
+		e.tendRunner(r)
+	}
+	for _, r := range e.runs {
+		e.tendRun(r)
+	}
+	e.place()
+}
+
+// adopt begins to drive. Every run in the state may exist and what became of
+// it is unknown until its runner has answered under this leader's fence.
+func (e *Engine) adopt(term uint64) {
+	e.forget()
+	e.term, e.since = term, e.now
+	e.options.Logger.Info("driving begins", "term", term, "runners", len(e.graph.Runners()), "jobs", len(e.graph.Jobs()))
+}
+
+// followGraph makes the soft state match the replicated one.
+func (e *Engine) followGraph() {
+	for id, registered := range e.graph.Runners() {
+		r := e.runners[id]
+		if r == nil {
+			r = e.newRunner(registered)
+		}
+		r.record = registered.Record
+		for t := range registered.Tasks {
+			e.followTask(r, t)
+		}
+	}
+	for id, r := range e.runners {
+		if e.graph.Runner(id) == nil {
+			delete(e.runners, id)
+			e.dropRuns(r)
+		}
+	}
+	for t, r := range e.runs {
+		if t.Runner != r.runner.record.Id || t.Run != r.number {
+			e.endRun(r)
+		}
+	}
+}
+
+func (e *Engine) followTask(at *runner, t *graph.Task) {
+	known := e.runs[t]
+	if known != nil && known.number == t.Run && known.runner == at {
+		return
+	}
+	if known != nil {
+		e.endRun(known)
+	}
+	r := &run{task: t, number: t.Run, runner: at, phase: phaseUnknown, pace: fullPace, wantedPace: fullPace, firstAt: e.now}
+	e.runs[t] = r
+	at.runs[t] = r
+}
+
+func (e *Engine) dropRuns(at *runner) {
+	for _, r := range at.runs {
+		e.endRun(r)
+	}
+}
+
+func (e *Engine) endRun(r *run) {
+	delete(e.runs, r.task)
+	delete(r.runner.runs, r.task)
+}
+
+// propose has a command about jobs of steps committed.
+func (e *Engine) propose(command *wire.WorkCommand, done func(state.Result, error)) {
+	term := e.term
+	e.options.Propose(&wire.Command{Body: &wire.Command_Work{Work: command}}, func(res state.Result, err error) {
+		if e.term != term {
+			return // the soft state that asked is gone
+		}
+		e.dirty = true
+		if done != nil {
+			done(res, err)
+		}
+	})
+}
+
+// send hands over an order under this leader's fence.
+func (e *Engine) send(at *runner, o Order) {
+	o.Runner, o.Fence, o.SentAt = at.record, e.term, e.now
+	e.options.Send(o)
+}
+
+// Answered takes the answer to an order.
+func (e *Engine) Answered(now time.Duration, a Answer) {
+	e.now = now
+	if a.Order.Fence != e.term || e.term == 0 {
+		return // an order of an earlier term; its runner is asked anew
+	}
+	r := e.runners[a.Order.Runner.Id]
+	if r == nil {
+		return
+	}
+	if a.ClockKnown {
+		r.clock.note(a.Clock, now)
+	}
+	if a.Verdict == OtherIncarnation {
+		e.dropRunner(r, "another incarnation lives at its address")
+		return
+	}
+	switch a.Order.Kind {
+	case Hold:
+		e.holdAnswered(r, a)
+	case Start:
+		e.startAnswered(r, a)
+	case Stop:
+		e.stopAnswered(r, a)
+	case Pace:
+		e.paceAnswered(r, a)
+	}
+}
--- /dev/null
+++ b/internal/sched/drive/order.go
@@ -0,0 +1,118 @@
+// This file defines what the leader asks of runners and what they answer.
+
+package drive
+
+import (
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+type (
+	// Kind tells what an order asks for.
+	Kind int
+
+	// Verdict is what became of an order.
+	Verdict int
+
+	// Order is one call to a runner. It is idempotent: the same order may be
+	// sent again.
+	Order struct {
+		Kind   Kind
+		Runner *wire.Runner
+		// Fence is the leader's term. A runner refuses a lower one than it has
+		// seen.
+		Fence uint64
+		// Run is what is started, stopped or paced.
+		Run *wire.RunId
+		// Payload and Checkpoint belong to a start.
+		Payload, Checkpoint string
+		// Deadline is when the lease of all that runs there ends, on the
+		// runner's clock; 0 leaves it as it is.
+		Deadline time.Duration
+		// LastSeen acknowledges all ends up to this number; of a hold.
+		LastSeen uint64
+		// Wait is how long a hold's answer may wait for an end.
+		Wait time.Duration
+		// Percent is the share at which a paced run may work.
+		Percent int
+		// SentAt is when the order was handed over, on the boot clock.
+		SentAt time.Duration
+	}
+
+	// Answer is what came back on an order.
+	Answer struct {
+		Order   Order
+		Verdict Verdict
+		// ClockKnown tells that Clock is the runner's clock as it answered.
+		ClockKnown bool
+		Clock      time.Duration
+		Running    []RunStatus
+		Ended      []RunReport
+		// Detail is for logs.
+		Detail string
+	}
+
+	// RunStatus is a run that exists on a runner.
+	RunStatus struct {
+		Run        *wire.RunId
+		Checkpoint string
+		Percent    int
+		// Usage is the tail latency in milliseconds of a standing task with a
+		// target, else the thousandths of a processor in use; over the last
+		// half second.
+		Usage int
+	}
+
+	// RunReport is a run that ended on a runner.
+	RunReport struct {
+		Number     uint64
+		Run        *wire.RunId
+		Outcome    wire.RunOutcome
+		Checkpoint string
+	}
+)
+
+// The kinds of orders.
+const (
+	Hold Kind = iota // renew the lease, acknowledge ends, ask what runs
+	Start
+	Stop
+	Pace
+)
+
+// The verdicts.
+const (
+	// NoAnswer: the order may have been carried out, or may be yet.
+	NoAnswer Verdict = iota
+	// Unsent: the order surely didn't reach the runner.
+	Unsent
+	// Accepted: it was carried out, now or before.
+	Accepted
+	// RefusedRoom: the runner's room doesn't suffice.
+	RefusedRoom
+	// RefusedOld: this run was stopped or has ended there.
+	RefusedOld
+	// RefusedLate: the deadline has gone by.
+	RefusedLate
+	// RefusedFence: a leader with a higher fence was there.
+	RefusedFence
+	// RefusedOther: the runner won't take the order, for another reason.
+	RefusedOther
+	// OtherIncarnation: another incarnation lives at the address.
+	OtherIncarnation
+)
+
+var kindNames = [...]string{Hold: "hold", Start: "start", Stop: "stop", Pace: "pace"}
+
+var verdictNames = [...]string{
+	NoAnswer: "no answer", Unsent: "not sent", Accepted: "accepted", RefusedRoom: "refused: room",
+	RefusedOld: "refused: run is old", RefusedLate: "refused: late", RefusedFence: "refused: fence",
+	RefusedOther: "refused", OtherIncarnation: "other incarnation",
+}
+
+// String names the kind for logs.
+func (k Kind) String() string { return kindNames[k] }
+
+// String names the verdict for logs.
+func (v Verdict) String() string { return verdictNames[v] }
--- /dev/null
+++ b/internal/sched/drive/place.go
@@ -0,0 +1,378 @@
+// This file defines which task goes where, and in which order.
+
+package drive
+
+import (
+	"errors"
+	"math"
+	"sort"
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	// maxPlacements bounds one proposal, so that one burst doesn't hold up the
+	// log for long; 300 placements are about 15 KB.
+	maxPlacements = 300
+	// standingUse is the part of its declared processors that a standing task
+	// uses on average; what it leaves is given to opportunistic tasks.
+	standingUse = 0.6
+	// otherRackFactor is how much longer a task may take away from its data;
+	// it decides whether a runner elsewhere is worth having now.
+	otherRackFactor = 3.0
+)
+
+type (
+	// room is what a runner has left while a pass places tasks.
+	room struct {
+		runner *runner
+		cpu    float64 // thousandths of a processor not promised to anyone
+		memory float64 // MB
+		accel  float64
+		// idle is what opportunistic tasks may use: thousandths of a processor
+		// that others leave unused.
+		idle     float64
+		capacity float64
+		standing int
+		// tight tells that a standing task there has little margin left to its
+		// latency target.
+		tight  bool
+		stages map[*graph.Stage]int
+	}
+
+	// pass is one round of placing.
+	pass struct {
+		engine *Engine
+		rooms  map[string][]*room // by pool
+		wall   time.Time
+		placed []*wire.RunPlacement
+	}
+)
+
+// place proposes runs for the tasks that are ready. One proposal is under way
+// at a time: the next is planned on what became of it.
+func (e *Engine) place() {
+	if e.placing || (!e.dirty && e.now < e.nextTimed) {
+		return
+	}
+	e.dirty, e.nextTimed = false, e.now+timedInterval
+	stages := e.graph.Ready()
+	if len(stages) == 0 {
+		return
+	}
+	p := &pass{engine: e, rooms: e.rooms(), wall: e.options.Wall()}
+	for _, s := range e.ordered(stages, p.wall) {
+		if len(p.placed) >= maxPlacements {
+			e.dirty = true
+			break
+		}
+		p.placeStage(s)
+	}
+	if len(p.placed) == 0 {
+		return
+	}
+	e.placing = true
+	placements := p.placed
+	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_Place{Place: &wire.PlaceRuns{Placements: placements}}},
+		func(res state.Result, err error) { e.placementsCommitted(placements, res, err) })
+}
+
+// placementsCommitted orders the starts. Only now may they leave: a later
+// leader has to know of every run that may exist.
+func (e *Engine) placementsCommitted(placements []*wire.RunPlacement, res state.Result, err error) {
+	e.placing = false
+	if err != nil {
+		return
+	}
+	e.followGraph()
+	for i, p := range placements {
+		if res.Placed[i] != nil {
+			if !errors.Is(res.Placed[i], graph.ErrNotReady) {
+				e.options.Logger.Info("placement refused", "job", p.Id.Job, "runner", p.Runner, "error", res.Placed[i])
+			}
+			continue
+		}
+		r := e.runs[e.graph.Find(p.Id)]
+		if r == nil || r.number != p.Id.Run {
+			continue
+		}
+		e.options.Logger.Debug("run placed", "job", p.Id.Job, "step", p.Id.Step, "index", p.Id.Index, "run", p.Id.Run, "runner", p.Runner)
+		if e.wantsStop(r) != "" {
+			e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "not wanted any more before it was ordered")
+			continue
+		}
+		e.start(r)
+	}
+}
+
+// rooms works out what each usable runner has left. A run that may exist
+// holds its room, whatever is known of it.
+func (e *Engine) rooms() map[string][]*room {
+	rooms := map[string][]*room{}
+	for _, r := range e.runners {
+		if !e.usable(r) {
+			continue
+		}
+		c := r.record
+		m := &room{
+			runner: r, cpu: float64(c.CpuMillis), memory: float64(c.MemoryMb), accel: float64(c.Accelerators),
+			idle: float64(c.CpuMillis), capacity: float64(c.CpuMillis), stages: map[*graph.Stage]int{},
+		}
+		for t, known := range r.runs {
+			m.take(t.Stage)
+			target := t.Stage.Step.TailTargetMs
+			m.tight = m.tight || (target > 0 && known.usage > int(float64(target)*tightShare))
+		}
+		rooms[c.Pool] = append(rooms[c.Pool], m)
+	}
+	for _, list := range rooms {
+		sort.Slice(list, func(i, k int) bool { return list[i].runner.record.Id < list[k].runner.record.Id })
+	}
+	return rooms
+}
+
+func (m *room) take(s *graph.Stage) {
+	step := s.Step
+	cpu := float64(step.CpuMillis)
+	switch {
+	case step.Opportunistic:
+		m.idle -= cpu
+	case step.Standing:
+		m.cpu -= cpu
+		m.idle -= cpu * standingUse
+		m.standing++
+	default:
+		m.cpu -= cpu
+		m.idle -= cpu
+	}
+	m.memory -= float64(step.MemoryMb)
+	m.accel -= float64(step.Accelerators)
+	m.stages[s]++
+}
+
+// fits tells whether a task of the stage may be placed.
+func (m *room) fits(s *graph.Stage) bool {
+	step := s.Step
+	switch {
+	case m.memory < float64(step.MemoryMb) || m.accel < float64(step.Accelerators):
+		return false
+	case !step.Opportunistic && m.cpu < float64(step.CpuMillis):
+		return false
+	case step.Opportunistic && m.idle < float64(step.CpuMillis):
+		return false
+	case step.SpreadLimit > 0 && m.stages[s] >= int(step.SpreadLimit):
+		return false
+	case step.RequiredLabel != "" && !hasLabel(m.runner.record, step.RequiredLabel):
+		return false
+	default:
+		return true
+	}
+}
+
+func hasLabel(r *wire.Runner, label string) bool {
+	for _, l := range r.Labels {
+		if l == label {
+			return true
+		}
+	}
+	return false
+}
+
+// ordered puts the stages in the order in which they are served: by their
+// queue's priority, then standing work, then by the slack to the job's
+// objective.
+func (e *Engine) ordered(stages []*graph.Stage, wall time.Time) []*graph.Stage {
+	type ranked struct {
+		stage    *graph.Stage
+		priority uint32
+		standing bool
+		slack    time.Duration
+	}
+	list := make([]ranked, 0, len(stages))
+	for _, s := range stages {
+		if s.Due.After(wall) {
+			continue
+		}
+		q := e.graph.Queue(s.Job.Queue)
+		list = append(list, ranked{s, q.GetPriority(), s.Standing(), e.slack(s, q, wall)})
+	}
+	sort.SliceStable(list, func(i, k int) bool {
+		a, b := list[i], list[k]
+		switch {
+		case a.standing != b.standing:
+			return a.standing
+		case a.priority != b.priority:
+			return a.priority < b.priority
+		default:
+			return a.slack < b.slack
+		}
+	})
+	sorted := make([]*graph.Stage, len(list))
+	for i := range list {
+		sorted[i] = list[i].stage
+	}
+	return sorted
+}
+
+// slack is how long the stage may still wait before its job misses its
+// objective. A job that has missed it goes behind those that can still keep
+// theirs, but isn't forgotten: it counts as if it had a whole objective more.
+func (e *Engine) slack(s *graph.Stage, q *wire.Queue, wall time.Time) time.Duration {
+	begin := s.Job.AcceptedAt
+	if !s.Due.IsZero() {
+		begin = s.Due
+	}
+	var chain time.Duration
+	for _, first := range s.Job.Occurrences[s.Occurrence] {
+		chain = max(chain, first.Longest)
+	}
+	objective := time.Duration(float64(chain)*max(q.GetStretch(), 1)) + q.GetTarget().AsDuration()
+	slack := objective - wall.Sub(begin) - s.Longest
+	if slack < 0 {
+		slack += objective
+	}
+	return slack
+}
+
+func (p *pass) placeStage(s *graph.Stage) {
+	rooms := p.rooms[p.engine.poolOf(s.Job)]
+	if s.Step.Gang {
+		p.placeGang(s, rooms)
+		return
+	}
+	for _, t := range s.Tasks {
+		if !t.Placeable() {
+			continue
+		}
+		m := p.choose(t, rooms)
+		if m == nil {
+			if s.Step.SpreadLimit == 0 && s.Step.RequiredLabel == "" {
+				return // the others are like it
+			}
+			continue
+		}
+		p.take(t, m, t.Run+1)
+	}
+}
+
+// poolOf is where a job's tasks run: what its queue says now, or said when it
+// was taken if the queue is gone.
+func (e *Engine) poolOf(j *graph.Job) string {
+	if q := e.graph.Queue(j.Queue); q != nil {
+		return q.Pool
+	}
+	return j.Pool
+}
+
+func (p *pass) take(t *graph.Task, m *room, number uint32) {
+	m.take(t.Stage)
+	id := t.ID()
+	id.Run = number
+	p.placed = append(p.placed, &wire.RunPlacement{Id: id, Runner: m.runner.record.Id})
+}
+
+// choose returns the runner that a task is best placed on, or nil.
+func (p *pass) choose(t *graph.Task, rooms []*room) *room {
+	var best *room
+	bestCost := math.Inf(1)
+	for _, m := range rooms {
+		if !m.fits(t.Stage) {
+			continue
+		}
+		if cost := p.cost(t, m); cost < bestCost {
+			best, bestCost = m, cost
+		}
+	}
+	return best
+}
+
+// cost rates a runner for a task; lower is better. Its unit is the task's run
+// time on a sound runner near its data.
+func (p *pass) cost(t *graph.Task, m *room) float64 {
+	step := t.Stage.Step
+	cost := p.engine.learned.slowness(m.runner.record.Id)
+	if step.DataRack != "" && step.DataRack != m.runner.record.Rack {
+		cost *= otherRackFactor
+	}
+	if t.LastFailedOn == m.runner.record.Id {
+		cost += 2
+	}
+	if step.Opportunistic {
+		if m.tight {
+			cost += 1
+		}
+		return cost - m.idle/max(m.capacity, 1)
+	}
+	if step.Standing {
+		// Spread: what fails together, and what disturbs each other, is less.
+		return cost + float64(m.standing)*0.1 - m.cpu/max(m.capacity, 1)
+	}
+	return cost - 0.5*m.cpu/max(m.capacity, 1)
+}
+
+// placeGang places all members or none: some alone would wait for the others
+// in vain. Their runs bear one number.
+func (p *pass) placeGang(s *graph.Stage, rooms []*room) {
+	number := uint32(0)
+	for _, t := range s.Tasks {
+		if t.Runner != "" {
+			return // members of the last run are still to end
+		}
+		number = max(number, t.Run)
+	}
+	if s.Step.SameRack {
+		for _, rack := range racks(rooms) {
+			if p.placeMembers(s, rack, number+1) {
+				return
+			}
+		}
+	}
+	p.placeMembers(s, rooms, number+1)
+}
+
+func racks(rooms []*room) [][]*room {
+	byRack := map[string][]*room{}
+	var names []string
+	for _, m := range rooms {
+		rack := m.runner.record.Rack
+		if byRack[rack] == nil {
+			names = append(names, rack)
+		}
+		byRack[rack] = append(byRack[rack], m)
+	}
+	sort.Strings(names)
+	list := make([][]*room, 0, len(names))
+	for _, name := range names {
+		list = append(list, byRack[name])
+	}
+	return list
+}
+
+func (p *pass) placeMembers(s *graph.Stage, rooms []*room, number uint32) bool {
+	trial := &pass{engine: p.engine, wall: p.wall}
+	copies := make([]*room, len(rooms))
+	for i, m := range rooms {
+		c := *m
+		c.stages = map[*graph.Stage]int{s: m.stages[s]}
+		copies[i] = &c
+	}
+	for _, t := range s.Tasks {
+		m := trial.choose(t, copies)
+		if m == nil {
+			return false
+		}
+		trial.take(t, m, number)
+	}
+	for _, placement := range trial.placed {
+		for _, m := range rooms {
+			if m.runner.record.Id == placement.Runner {
+				m.take(s)
+			}
+		}
+	}
+	p.placed = append(p.placed, trial.placed...)
+	return true
+}
--- /dev/null
+++ b/internal/sched/drive/report.go
@@ -0,0 +1,72 @@
+// This file defines how heartbeats of runners are taken.
+
+package drive
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/state"
+)
+
+// ErrNotDriving says that another replica has to be told.
+var ErrNotDriving = errors.New("drive: this replica doesn't lead")
+
+// Reported takes a heartbeat. Done is called once what it says is kept for
+// good: at once when it says nothing new. In particular that a runner leaves is
+// acknowledged only after every later leader is bound to know it.
+func (e *Engine) Reported(now time.Duration, report *wire.ReportRunnerRequest, done func(error)) {
+	e.now = now
+	if e.term == 0 {
+		done(ErrNotDriving)
+		return
+	}
+	record := report.Runner
+	if e.graph.Dropped(record.Id) {
+		done(nil) // sent before it was given up; there is nothing to learn
+		return
+	}
+	known := e.graph.Runner(record.Id)
+	r := e.runners[record.Id]
+	if r != nil {
+		if report.Sequence != 0 && report.Sequence < r.reportSequence && !report.Gone {
+			done(nil)
+			return
+		}
+		r.reportSequence = max(r.reportSequence, report.Sequence)
+		if record.Leaving && report.Remaining != nil {
+			r.leaveBy = now + report.Remaining.AsDuration()
+		}
+	}
+	switch {
+	case report.Gone && known == nil:
+		done(nil)
+	case report.Gone:
+		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_DropRunner{DropRunner: &wire.DropRunner{Id: record.Id, Reason: "it left"}}}, done)
+		e.options.Logger.Info("runner left", "runner", record.Id)
+	case known != nil && sameRunner(known.Record, record):
+		done(nil)
+	default:
+		e.options.Logger.Info("runner reported", "runner", record.Id, "address", record.Address, "pool", record.Pool,
+			"failure_domain", record.FailureDomain, "leaving", record.Leaving, "new", known == nil)
+		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutRunner{PutRunner: record}}, done)
+	}
+}
+
+func sameRunner(known, told *wire.Runner) bool {
+	if known.Leaving && !told.Leaving {
+		told = proto.Clone(told).(*wire.Runner)
+		told.Leaving = true
+	}
+	return proto.Equal(known, told)
+}
+
+func (e *Engine) commitReport(command *wire.WorkCommand, done func(error)) {
+	e.options.Propose(&wire.Command{Body: &wire.Command_Work{Work: command}}, func(_ state.Result, err error) {
+		e.dirty = true
+		done(err)
+	})
+}
--- /dev/null
+++ b/internal/sched/drive/run.go
@@ -0,0 +1,285 @@
+// This file defines what the leader knows of a run and how orders about it are
+// settled.
+
+package drive
+
+import (
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+)
+
+type phase int
+
+const (
+	// phaseUnknown: an earlier leader may have ordered it.
+	phaseUnknown phase = iota
+	// phaseOrdered: a start is on its way.
+	phaseOrdered
+	// phaseUnresolved: a start had no answer and may yet be carried out.
+	phaseUnresolved
+	// phaseRunning: the runner said that it is there.
+	phaseRunning
+	// phaseClosed: the runner said that it will never start it from now on; it
+	// may have ended there.
+	phaseClosed
+)
+
+const (
+	fullPace = 100
+	// startRetry is the pause before a start without an answer is sent again.
+	startRetry = 100 * time.Millisecond
+	// stopRetry is the pause before a stop without an effect is sent again;
+	// more than the runner's answer takes, less than its grace.
+	stopRetry = 500 * time.Millisecond
+	// leaveMargin is how long before a runner leaves its checkpointable work is
+	// stopped, beside the time that a stop takes.
+	leaveMargin = 400 * time.Millisecond
+)
+
+// run is the soft state of a run that may exist.
+type run struct {
+	task   *graph.Task
+	number uint32
+	runner *runner
+	phase  phase
+	// sends counts the starts sent by this leader, answered those that had an
+	// answer. While they differ, a start may yet arrive.
+	sends, answers int
+	nextStart      time.Duration
+	firstAt        time.Duration // when this leader first knew it
+	startedAt      time.Duration // when it was first known to run
+	closedAt       time.Duration // when it was closed
+	confirmedAt    time.Duration // when the runner last said that it is there
+
+	stopReason string
+	stopping   bool // a stop is on its way
+	nextStop   time.Duration
+
+	percent     int
+	progressAt  time.Duration
+	usage       int
+	usageAt     time.Duration
+	pace        int
+	wantedPace  int
+	pacing      bool
+	paceChanged time.Duration
+	overSince   time.Duration
+	ending      bool // its end is being committed
+}
+
+func (r *run) seenRunning(now time.Duration, s *RunStatus) {
+	if r.phase != phaseRunning {
+		r.phase = phaseRunning
+		r.startedAt, r.progressAt = now, now
+	}
+	if s.Percent != r.percent {
+		r.percent, r.progressAt = s.Percent, now
+	}
+	r.usage, r.usageAt = s.Usage, now
+	r.confirmedAt = now
+}
+
+// wantsStop tells why a run should be stopped; empty when it shouldn't.
+func (e *Engine) wantsStop(r *run) string {
+	j := r.task.Stage.Job
+	switch {
+	case j.Ended():
+		return "its job has ended"
+	case r.task.Done:
+		return "its task is done"
+	case r.runner.record.Leaving && e.shouldLeave(r):
+		return "its runner is leaving"
+	default:
+		return r.stopReason
+	}
+}
+
+// shouldLeave tells whether a run on a leaving runner should be moved now.
+// Standing work moves at once, since it would be cut off anyway; other work
+// only when it could save its progress and can't finish.
+func (e *Engine) shouldLeave(r *run) bool {
+	if r.task.Stage.Standing() {
+		return true
+	}
+	if !r.task.Stage.Step.Checkpointable || r.runner.leaveBy == 0 {
+		return false
+	}
+	return e.now > r.runner.leaveBy-e.options.StopGrace-leaveMargin
+}
+
+// tendRun sends what is due about one run.
+func (e *Engine) tendRun(r *run) {
+	if !r.runner.synced || r.runner.dropping || r.ending {
+		return
+	}
+	if reason := e.wantsStop(r); reason != "" {
+		e.tendStop(r, reason)
+		return
+	}
+	switch r.phase {
+	case phaseUnresolved:
+		// While holds fail too, another start would fare no better.
+		if e.now >= r.nextStart && r.runner.failed == 0 {
+			e.start(r)
+		}
+	case phaseRunning:
+		e.tendProgress(r)
+		e.tendPace(r)
+	}
+}
+
+func (e *Engine) tendStop(r *run, reason string) {
+	if r.stopping || e.now < r.nextStop || r.phase == phaseClosed {
+		return
+	}
+	if r.phase == phaseUnknown && r.sends == 0 && !r.runner.synced {
+		return
+	}
+	e.options.Logger.Debug("run stopped", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number, "runner", r.runner.record.Id, "reason", reason)
+	r.stopping = true
+	e.send(r.runner, Order{Kind: Stop, Run: r.id()})
+}
+
+func (r *run) id() *wire.RunId {
+	id := r.task.ID()
+	id.Run = r.number
+	return id
+}
+
+// start sends the order, for the first time or again.
+func (e *Engine) start(r *run) {
+	deadline := r.runner.clock.grant(e.now, e.options.Lease)
+	if deadline == 0 {
+		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
+		return
+	}
+	r.phase = phaseOrdered
+	r.sends++
+	e.send(r.runner, Order{
+		Kind: Start, Run: r.id(), Payload: r.task.Stage.Job.Spec.Payload,
+		Checkpoint: r.task.Checkpoint, Deadline: deadline,
+	})
+}
+
+func (e *Engine) runOf(r *runner, id *wire.RunId) *run {
+	t := e.graph.Find(id)
+	known := e.runs[t]
+	if t == nil || known == nil || known.runner != r || known.number != id.Run {
+		return nil
+	}
+	return known
+}
+
+func (e *Engine) startAnswered(at *runner, a Answer) {
+	r := e.runOf(at, a.Order.Run)
+	if r == nil {
+		return
+	}
+	if a.Verdict != NoAnswer {
+		r.answers++
+	}
+	if r.phase == phaseRunning || r.phase == phaseClosed || r.ending {
+		return
+	}
+	if a.Verdict != Accepted {
+		e.options.Logger.Info("start not taken", "job", a.Order.Run.Job, "step", a.Order.Run.Step, "index", a.Order.Run.Index,
+			"run", r.number, "runner", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail, "sends", r.sends)
+	}
+	switch a.Verdict {
+	case Accepted:
+		r.phase = phaseRunning
+		r.startedAt, r.progressAt, r.confirmedAt = e.now, e.now, e.now
+	case NoAnswer, RefusedLate, RefusedFence:
+		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
+	case RefusedOld:
+		r.phase, r.closedAt = phaseClosed, e.now
+	default:
+		at.restUntil = e.now + refusalPause
+		e.startRefused(r, a)
+	}
+}
+
+// startRefused settles a start that was surely not carried out. If an earlier
+// copy had no answer it may yet arrive, so the run is closed by a stop first.
+func (e *Engine) startRefused(r *run, a Answer) {
+	if r.sends == r.answers {
+		e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, a.Verdict.String())
+		return
+	}
+	r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
+	r.stopReason = "its start was refused while a copy of it may be on its way"
+}
+
+func (e *Engine) stopAnswered(at *runner, a Answer) {
+	r := e.runOf(at, a.Order.Run)
+	if r == nil {
+		return
+	}
+	r.stopping, r.nextStop = false, e.now+stopRetry
+	if a.Verdict != Accepted {
+		e.options.Logger.Info("stop not taken", "job", a.Order.Run.Job, "run", r.number, "runner", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
+		return
+	}
+	r.phase, r.closedAt = phaseClosed, e.now
+}
+
+// settleAbsent settles the runs that the runner doesn't list, by what is
+// known of their orders.
+func (e *Engine) settleAbsent(at *runner, a Answer) {
+	listed := map[*graph.Task]bool{}
+	for i := range a.Running {
+		listed[e.graph.Find(a.Running[i].Run)] = true
+	}
+	for i := range a.Ended {
+		listed[e.graph.Find(a.Ended[i].Run)] = true
+	}
+	if len(a.Ended) >= maxEndsListed {
+		return // the list may be cut off
+	}
+	for t, r := range at.runs {
+		if listed[t] || r.ending {
+			continue
+		}
+		e.settleAbsentRun(r, a.Order.SentAt)
+	}
+}
+
+// maxEndsListed is how many ends a runner lists at once.
+const maxEndsListed = 500
+
+func (e *Engine) settleAbsentRun(r *run, askedAt time.Duration) {
+	switch r.phase {
+	case phaseUnknown:
+		// Under this leader's fence no earlier order can be carried out any
+		// more, and the run isn't there: it never began.
+		if e.wantsStop(r) != "" {
+			e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "an earlier leader's order never arrived")
+			return
+		}
+		e.start(r)
+	case phaseClosed:
+		if askedAt >= r.closedAt {
+			e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "closed and not there")
+		}
+	case phaseRunning:
+		if askedAt >= r.confirmedAt {
+			e.settle(r, wire.RunOutcome_RUN_OUTCOME_LOST, "was there and isn't any more")
+		}
+	case phaseOrdered, phaseUnresolved:
+	}
+}
+
+// settle commits an end that no runner lists.
+func (e *Engine) settle(r *run, outcome wire.RunOutcome, reason string) {
+	r.ending = true
+	id := r.id()
+	e.options.Logger.Info("run settled", "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run, "runner", r.runner.record.Id, "outcome", outcome.String(), "reason", reason)
+	end := &wire.RunEnd{Id: id, Runner: r.runner.record.Id, Outcome: outcome}
+	e.commitEnds([]*wire.RunEnd{end}, func(ok bool) {
+		if !ok {
+			r.ending = false
+		}
+	})
+}
--- /dev/null
+++ b/internal/sched/drive/runner.go
@@ -0,0 +1,210 @@
+// This file defines what the leader knows of a runner and how it keeps its
+// lease.
+
+package drive
+
+import (
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	// holdWait is how long a hold waits for an end: long, since each call has
+	// its price, yet short enough that a lease is renewed several times over.
+	holdWait = 1500 * time.Millisecond
+	// watchWait is the same where a latency target has to be watched: tails
+	// are figures of half a second.
+	watchWait = 500 * time.Millisecond
+	// holdRetry is the pause after a hold that failed.
+	holdRetry = 250 * time.Millisecond
+	// suspectAfter is how much later than due an answer may come before the
+	// runner gets no new work.
+	suspectAfter = 400 * time.Millisecond
+	// refusalPause keeps new work from a runner that refused a start, for its
+	// room or because it is unwell.
+	refusalPause = 300 * time.Millisecond
+)
+
+// runner is the soft state of a registered incarnation.
+type runner struct {
+	record *wire.Runner
+	runs   map[*graph.Task]*run
+	clock  runnerClock
+	// synced is set by the first answer under this leader's fence: from then
+	// on no order of an earlier leader can be carried out.
+	synced    bool
+	holding   bool
+	holdSince time.Duration
+	holdFor   time.Duration // how long the answer may take
+	nextHold  time.Duration
+	answered  time.Duration // when the last hold was answered
+	failed    int           // holds in a row without an answer
+	lastSeen  uint64        // ends up to here are committed
+	ending    bool          // ends are being committed
+	dropping  bool
+	restUntil time.Duration
+	leaveBy   time.Duration // when a leaving runner ends; 0 when unknown
+	// reportSequence is that of the latest heartbeat.
+	reportSequence uint64
+	standing       bool // a run with a latency target is there
+}
+
+func (e *Engine) newRunner(registered *graph.Runner) *runner {
+	r := &runner{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now}
+	e.runners[registered.Record.Id] = r
+	return r
+}
+
+// suspect tells whether the runner may be gone or cut off.
+func (e *Engine) suspect(r *runner) bool {
+	return r.failed > 0 || (r.holding && e.now > r.holdSince+r.holdFor+suspectAfter)
+}
+
+// usable tells whether new work may be placed there.
+func (e *Engine) usable(r *runner) bool {
+	return r.synced && !r.record.Leaving && !r.dropping && !e.suspect(r) && e.now >= r.restUntil
+}
+
+// tendRunner renews the lease, and gives up a runner whose lease has run out.
+func (e *Engine) tendRunner(r *runner) {
+	if r.dropping {
+		return
+	}
+	if r.failed > 0 && e.now-r.answered > e.options.Lease && r.clock.lapsed(e.now, e.since, e.options.Lease) {
+		e.dropRunner(r, "silent until its lease had surely run out")
+		return
+	}
+	if r.holding || r.ending || e.now < r.nextHold {
+		return
+	}
+	r.holding, r.holdSince, r.holdFor = true, e.now, 0
+	if r.synced {
+		r.holdFor = holdWait
+		if r.standing {
+			r.holdFor = watchWait
+		}
+	}
+	e.send(r, Order{
+		Kind: Hold, Deadline: r.clock.grant(e.now, e.options.Lease),
+		LastSeen: r.lastSeen, Wait: r.holdFor,
+	})
+}
+
+func (e *Engine) dropRunner(r *runner, reason string) {
+	if r.dropping {
+		return
+	}
+	r.dropping = true
+	e.options.Logger.Info("runner given up", "runner", r.record.Id, "address", r.record.Address, "reason", reason, "runs", len(r.runs), "silent", e.now-r.answered)
+	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropRunner{DropRunner: &wire.DropRunner{Id: r.record.Id, Reason: reason}}},
+		func(_ state.Result, err error) {
+			if err != nil {
+				r.dropping = false
+			}
+		})
+}
+
+func (e *Engine) holdAnswered(r *runner, a Answer) {
+	r.holding = false
+	if a.Verdict != Accepted {
+		if a.Verdict != Unsent || r.failed > 0 || e.now-r.answered > suspectAfter {
+			r.failed++
+		}
+		if r.failed == 1 {
+			e.options.Logger.Info("runner silent", "runner", r.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
+		}
+		r.nextHold = e.now + holdRetry
+		return
+	}
+	if r.failed > 0 {
+		e.options.Logger.Info("runner heard again", "runner", r.record.Id, "silent", e.now-r.answered)
+		e.dirty = true
+	}
+	r.failed, r.answered, r.nextHold = 0, e.now, e.now
+	first := !r.synced
+	if first {
+		r.synced = true
+		e.dirty = true
+		e.dropPredecessors(r)
+	}
+	e.noteRunning(r, a)
+	e.noteEnded(r, a)
+	e.settleAbsent(r, a)
+	e.watchTails(r)
+}
+
+// dropPredecessors gives up earlier incarnations at the address of one that
+// has answered there: a new process at the same place is proof that the old
+// one has ended, and all that ran in it.
+func (e *Engine) dropPredecessors(r *runner) {
+	for _, other := range e.runners {
+		if other != r && other.record.Address == r.record.Address {
+			e.dropRunner(other, "another incarnation answered at its address")
+		}
+	}
+}
+
+func (e *Engine) noteRunning(r *runner, a Answer) {
+	r.standing = false
+	for i := range a.Running {
+		status := &a.Running[i]
+		t := e.graph.Find(status.Run)
+		known := e.runs[t]
+		if t == nil || known == nil || known.runner != r || known.number != status.Run.Run {
+			e.stopStray(r, status.Run)
+			continue
+		}
+		known.seenRunning(e.now, status)
+		if t.Stage.Step.TailTargetMs > 0 {
+			r.standing = true
+		}
+	}
+}
+
+// stopStray stops a run that the state doesn't know to be there. It may only
+// be one whose end was noted on another ground.
+func (e *Engine) stopStray(r *runner, id *wire.RunId) {
+	e.options.Logger.Warn("unknown run stopped", "runner", r.record.Id, "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run)
+	e.send(r, Order{Kind: Stop, Run: id})
+}
+
+// noteEnded commits the ends that the runner lists. They are acknowledged to
+// it only after that, by the next hold.
+func (e *Engine) noteEnded(r *runner, a Answer) {
+	last := r.lastSeen
+	var ends []*wire.RunEnd
+	for _, report := range a.Ended {
+		if report.Number <= r.lastSeen {
+			continue
+		}
+		last = max(last, report.Number)
+		t := e.graph.Find(report.Run)
+		if t == nil || t.Runner != r.record.Id || t.Run != report.Run.Run {
+			continue
+		}
+		e.noteOutcome(r, t, report.Outcome)
+		ends = append(ends, &wire.RunEnd{Id: report.Run, Runner: r.record.Id, Outcome: report.Outcome, Checkpoint: report.Checkpoint})
+	}
+	if len(ends) == 0 {
+		r.lastSeen = last
+		return
+	}
+	r.ending = true
+	e.commitEnds(ends, func(ok bool) {
+		r.ending = false
+		if ok {
+			r.lastSeen = last
+		}
+	})
+}
+
+func (e *Engine) commitEnds(ends []*wire.RunEnd, done func(ok bool)) {
+	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_End{End: &wire.EndRuns{Ends: ends}}}, func(_ state.Result, err error) {
+		if done != nil {
+			done(err == nil)
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/graph/apply.go
@@ -0,0 +1,228 @@
+// This file defines Apply and the commands about the catalog, jobs and runners.
+
+package graph
+
+import (
+	"errors"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// Why a command changes nothing.
+var (
+	ErrUnknownQueue  = errors.New("no such queue")
+	ErrUnknownJob    = errors.New("no such job")
+	ErrUnknownRunner = errors.New("no such runner")
+	ErrOtherContent  = errors.New("the id names a job with other content")
+	ErrSuperseded    = errors.New("the run isn't the task's present one")
+	ErrNotReady      = errors.New("the task isn't to be placed")
+	ErrLeaving       = errors.New("the runner is leaving")
+)
+
+// Result is what a command came to.
+type Result struct {
+	Err error
+	// Placed tells for each placement whether it holds.
+	Placed []error
+}
+
+// Apply carries out one committed command, at the time that it bears.
+func (g *Graph) Apply(at time.Time, c *wire.WorkCommand) Result {
+	switch body := c.GetBody().(type) {
+	case *wire.WorkCommand_PutCatalog:
+		return g.putCatalog(body.PutCatalog)
+	case *wire.WorkCommand_Submit:
+		return Result{Err: g.submit(at, body.Submit)}
+	case *wire.WorkCommand_Cancel:
+		return Result{Err: g.cancel(at, body.Cancel)}
+	case *wire.WorkCommand_PutRunner:
+		return Result{Err: g.putRunner(body.PutRunner)}
+	case *wire.WorkCommand_DropRunner:
+		return Result{Err: g.dropRunner(at, body.DropRunner)}
+	case *wire.WorkCommand_Place:
+		return g.place(body.Place)
+	case *wire.WorkCommand_End:
+		for _, e := range body.End.Ends {
+			g.end(at, e)
+		}
+		return Result{}
+	case *wire.WorkCommand_Forget:
+		g.forget(body.Forget.EndedBefore.AsTime())
+		return Result{}
+	default:
+		return Result{}
+	}
+}
+
+// putCatalog replaces the catalog by one of a higher version. Another one is
+// a late or repeated send and changes nothing, which is no error.
+func (g *Graph) putCatalog(c *wire.Catalog) Result {
+	if c.Version <= g.catalog.Version {
+		return Result{}
+	}
+	g.setCatalog(c)
+	g.changed()
+	return Result{}
+}
+
+func (g *Graph) setCatalog(c *wire.Catalog) {
+	g.catalog = c
+	clear(g.queues)
+	clear(g.byHost)
+	clear(g.pools)
+	for _, q := range c.Queues {
+		g.queues[q.Name] = q
+		g.byHost[q.Host] = append(g.byHost[q.Host], q)
+	}
+	for _, p := range c.Pools {
+		g.pools[p.Name] = p
+	}
+}
+
+// submit accepts a job. The same id with the same content is the same job.
+func (g *Graph) submit(at time.Time, s *wire.SubmitWork) error {
+	if known := g.jobs[s.Job]; known != nil {
+		if known.Queue != s.Queue || !proto.Equal(known.Spec, s.Spec) {
+			return ErrOtherContent
+		}
+		return nil
+	}
+	q := g.queues[s.Queue]
+	if q == nil {
+		return ErrUnknownQueue
+	}
+	g.sequence++
+	j := &Job{
+		ID: s.Job, Queue: s.Queue, Pool: q.Pool, Spec: s.Spec,
+		State: wire.WorkState_WORK_STATE_QUEUED, AcceptedAt: at, Sequence: g.sequence,
+	}
+	j.build()
+	g.addJob(j)
+	g.changed()
+	return nil
+}
+
+func (g *Graph) addJob(j *Job) {
+	g.jobs[j.ID] = j
+	if !j.begun && !j.Ended() {
+		g.pending[j.Queue]++
+	}
+	for _, stages := range j.Occurrences {
+		for _, s := range stages {
+			g.noteReady(s)
+		}
+	}
+}
+
+// noteReady keeps the set of ready stages true for one stage.
+func (g *Graph) noteReady(s *Stage) {
+	if s.Unplaced > 0 && s.waitsFor == 0 && !s.Job.Ended() {
+		g.ready[s] = true
+		return
+	}
+	delete(g.ready, s)
+}
+
+func (g *Graph) begin(j *Job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	g.pending[j.Queue]--
+	if !j.Ended() {
+		j.State = wire.WorkState_WORK_STATE_RUNNING
+	}
+}
+
+// cancel ends a job. Its runs are stopped by the leader.
+func (g *Graph) cancel(at time.Time, c *wire.CancelWork) error {
+	j := g.jobs[c.Job]
+	if j == nil {
+		return ErrUnknownJob
+	}
+	g.finish(at, j, wire.WorkState_WORK_STATE_CANCELLED)
+	return nil
+}
+
+func (g *Graph) finish(at time.Time, j *Job, state wire.WorkState) {
+	if j.Ended() {
+		return
+	}
+	if !j.begun {
+		g.pending[j.Queue]--
+		j.begun = true
+	}
+	j.State, j.EndedAt = state, at
+	for _, stages := range j.Occurrences {
+		for _, s := range stages {
+			delete(g.ready, s)
+		}
+	}
+	g.changed()
+}
+
+// putRunner registers a runner or renews what is known of it. Leaving is for
+// good: a report that says otherwise is an older one.
+func (g *Graph) putRunner(r *wire.Runner) error {
+	if g.Dropped(r.Id) {
+		return ErrUnknownRunner
+	}
+	known := g.runners[r.Id]
+	if known == nil {
+		g.runners[r.Id] = &Runner{Record: r, Tasks: map[*Task]bool{}}
+		g.changed()
+		return nil
+	}
+	if known.Record.Leaving {
+		r.Leaving = true
+	}
+	known.Record = r
+	g.changed()
+	return nil
+}
+
+// dropRunner forgets a runner that is surely gone, and with it all that ran
+// there.
+func (g *Graph) dropRunner(at time.Time, d *wire.DropRunner) error {
+	r := g.runners[d.Id]
+	if r == nil {
+		return ErrUnknownRunner
+	}
+	for _, t := range sortedTasks(r.Tasks) {
+		g.release(t)
+	}
+	delete(g.runners, d.Id)
+	g.dropped[d.Id] = at
+	g.changed()
+	return nil
+}
+
+func (g *Graph) forget(endedBefore time.Time) {
+	for id, j := range g.jobs {
+		if j.Ended() && j.EndedAt.Before(endedBefore) && !j.mayRun() {
+			delete(g.jobs, id)
+		}
+	}
+	for id, at := range g.dropped {
+		if at.Before(endedBefore) {
+			delete(g.dropped, id)
+		}
+	}
+}
+
+// mayRun tells whether a run of the job may still exist somewhere.
+func (j *Job) mayRun() bool {
+	for _, stages := range j.Occurrences {
+		for _, s := range stages {
+			for _, t := range s.Tasks {
+				if t.Runner != "" {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/store/graph/graph.go
@@ -0,0 +1,133 @@
+// This file defines Graph and how it is read.
+
+// Package graph is the replicated state of jobs that are made of steps and
+// tasks: the catalog of queues, the jobs, and which run of which task may
+// exist on which runner.
+//
+// Apply is pure: time enters only as data of a committed command. A run is in
+// this state before the first order for it leaves, so any leader knows every
+// run that may exist. It leaves the state only with an end that is certain.
+package graph
+
+import (
+	"sort"
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+type (
+	// Runner is a registered incarnation of a worker and what may run there.
+	Runner struct {
+		Record *wire.Runner
+		// Tasks are those whose present run may exist on this runner.
+		Tasks map[*Task]bool
+	}
+
+	// Graph is the state. The zero value isn't usable; see New. It isn't safe
+	// for concurrent use.
+	Graph struct {
+		catalog  *wire.Catalog
+		queues   map[string]*wire.Queue
+		byHost   map[string][]*wire.Queue
+		pools    map[string]*wire.WorkerPool
+		jobs     map[string]*Job
+		runners  map[string]*Runner
+		dropped  map[string]time.Time
+		ready    map[*Stage]bool
+		pending  map[string]int // accepted jobs without a begun task, by queue
+		sequence uint64
+		// Changed is called with each stage that became ready, ended or was
+		// given up, and each time the set of runners changes; nil is allowed.
+		Changed func()
+	}
+)
+
+// New returns the empty state.
+func New() *Graph {
+	g := &Graph{}
+	g.reset()
+	return g
+}
+
+func (g *Graph) reset() {
+	g.catalog = &wire.Catalog{}
+	g.queues = map[string]*wire.Queue{}
+	g.byHost = map[string][]*wire.Queue{}
+	g.pools = map[string]*wire.WorkerPool{}
+	g.jobs = map[string]*Job{}
+	g.runners = map[string]*Runner{}
+	g.dropped = map[string]time.Time{}
+	g.ready = map[*Stage]bool{}
+	g.pending = map[string]int{}
+	g.sequence = 0
+}
+
+// Catalog returns the catalog in force; version 0 is the empty one. It must
+// not be changed.
+func (g *Graph) Catalog() *wire.Catalog { return g.catalog }
+
+// Queue returns the queue of a name, or nil.
+func (g *Graph) Queue(name string) *wire.Queue { return g.queues[name] }
+
+// Pool returns the pool of a name, or nil.
+func (g *Graph) Pool(name string) *wire.WorkerPool { return g.pools[name] }
+
+// Job returns a job, or nil.
+func (g *Graph) Job(id string) *Job { return g.jobs[id] }
+
+// Jobs returns all jobs in the order in which they were accepted.
+func (g *Graph) Jobs() []*Job {
+	jobs := make([]*Job, 0, len(g.jobs))
+	for _, j := range g.jobs {
+		jobs = append(jobs, j)
+	}
+	sort.Slice(jobs, func(i, k int) bool { return jobs[i].Sequence < jobs[k].Sequence })
+	return jobs
+}
+
+// Runner returns a registered runner, or nil.
+func (g *Graph) Runner(id string) *Runner { return g.runners[id] }
+
+// Runners returns the registered runners by id. It must not be changed.
+func (g *Graph) Runners() map[string]*Runner { return g.runners }
+
+// Dropped tells whether a runner of this id was dropped, and must not come
+// back: what it reports was sent before its end was settled.
+func (g *Graph) Dropped(id string) bool {
+	_, ok := g.dropped[id]
+	return ok
+}
+
+// Pending is the number of accepted jobs of a queue of which no task has begun.
+func (g *Graph) Pending(queue string) int { return g.pending[queue] }
+
+// Ready returns the stages that have tasks to place, whether due yet or not,
+// in the order in which their jobs were accepted.
+func (g *Graph) Ready() []*Stage {
+	stages := make([]*Stage, 0, len(g.ready))
+	for s := range g.ready {
+		stages = append(stages, s)
+	}
+	sort.Slice(stages, func(i, k int) bool { return stages[i].before(stages[k]) })
+	return stages
+}
+
+// Find returns the task that a run id names, or nil.
+func (g *Graph) Find(id *wire.RunId) *Task {
+	j := g.jobs[id.GetJob()]
+	if j == nil || int(id.Occurrence) >= len(j.Occurrences) {
+		return nil
+	}
+	stages := j.Occurrences[id.Occurrence]
+	if int(id.Step) >= len(stages) || int(id.Index) >= len(stages[id.Step].Tasks) {
+		return nil
+	}
+	return stages[id.Step].Tasks[id.Index]
+}
+
+func (g *Graph) changed() {
+	if g.Changed != nil {
+		g.Changed()
+	}
+}
--- /dev/null
+++ b/internal/store/graph/image.go
@@ -0,0 +1,128 @@
+// This file defines how the state is saved and loaded.
+
+package graph
+
+import (
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// Save returns the state for a snapshot. It shares records with the state and
+// must be serialized before the next Apply.
+func (g *Graph) Save() *wire.WorkImage {
+	image := &wire.WorkImage{Catalog: g.catalog, NextSequence: g.sequence, Dropped: map[string]*timestamppb.Timestamp{}}
+	for _, j := range g.Jobs() {
+		image.Jobs = append(image.Jobs, saveJob(j))
+	}
+	for _, r := range g.runners {
+		image.Runners = append(image.Runners, r.Record)
+	}
+	sort.Slice(image.Runners, func(i, k int) bool { return image.Runners[i].Id < image.Runners[k].Id })
+	for id, at := range g.dropped {
+		image.Dropped[id] = timestamppb.New(at)
+	}
+	return image
+}
+
+func saveJob(j *Job) *wire.WorkJob {
+	saved := &wire.WorkJob{
+		Id: j.ID, Queue: j.Queue, Pool: j.Pool, Spec: j.Spec, State: j.State, Sequence: j.Sequence,
+		AcceptedAt: timestamppb.New(j.AcceptedAt),
+	}
+	if j.Ended() {
+		saved.EndedAt = timestamppb.New(j.EndedAt)
+	}
+	for _, stages := range j.Occurrences {
+		for _, s := range stages {
+			for _, t := range s.Tasks {
+				if t.Run == 0 && !t.Done {
+					continue
+				}
+				saved.Tasks = append(saved.Tasks, &wire.WorkTask{
+					Occurrence: s.Occurrence, Step: s.Index, Index: t.Index, Run: t.Run, Failures: t.Failures,
+					Done: t.Done, Checkpoint: t.Checkpoint, Runner: t.Runner,
+				})
+			}
+		}
+	}
+	return saved
+}
+
+// Load replaces the state by a saved one.
+func (g *Graph) Load(image *wire.WorkImage) {
+	g.reset()
+	if image == nil {
+		return
+	}
+	if image.Catalog != nil {
+		g.setCatalog(image.Catalog)
+	}
+	g.sequence = image.NextSequence
+	for _, r := range image.Runners {
+		g.runners[r.Id] = &Runner{Record: r, Tasks: map[*Task]bool{}}
+	}
+	for id, at := range image.Dropped {
+		g.dropped[id] = at.AsTime()
+	}
+	for _, saved := range image.Jobs {
+		g.loadJob(saved)
+	}
+	g.changed()
+}
+
+func (g *Graph) loadJob(saved *wire.WorkJob) {
+	j := &Job{
+		ID: saved.Id, Queue: saved.Queue, Pool: saved.Pool, Spec: saved.Spec, State: saved.State,
+		AcceptedAt: saved.AcceptedAt.AsTime(), Sequence: saved.Sequence,
+		begun: saved.State != wire.WorkState_WORK_STATE_QUEUED,
+	}
+	if saved.EndedAt != nil {
+		j.EndedAt = saved.EndedAt.AsTime()
+	}
+	j.build()
+	g.jobs[j.ID] = j
+	for _, task := range saved.Tasks {
+		g.loadTask(j, task)
+	}
+	for _, stages := range j.Occurrences {
+		for _, s := range stages {
+			if s.done == len(s.Tasks) {
+				j.open--
+				for _, next := range s.next {
+					next.waitsFor--
+				}
+			}
+		}
+	}
+	g.addJob(j)
+}
+
+func (g *Graph) loadTask(j *Job, saved *wire.WorkTask) {
+	s := j.Occurrences[saved.Occurrence][saved.Step]
+	t := s.Tasks[saved.Index]
+	t.Run, t.Failures, t.Done, t.Checkpoint = saved.Run, saved.Failures, saved.Done, saved.Checkpoint
+	if saved.Runner != "" {
+		t.Runner = saved.Runner
+		g.runners[saved.Runner].Tasks[t] = true
+	}
+	if t.Done {
+		s.done++
+	}
+	if t.Done || t.Runner != "" {
+		s.Unplaced--
+	}
+}
+
+// Overdue tells whether a job ended so long ago that it may be forgotten.
+func (g *Graph) Overdue(endedBefore time.Time) bool {
+	for _, j := range g.jobs {
+		if j.Ended() && j.EndedAt.Before(endedBefore) && !j.mayRun() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/store/graph/job.go
@@ -0,0 +1,143 @@
+// This file defines Job, Stage and Task.
+
+package graph
+
+import (
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+type (
+	// Job is one accepted job.
+	Job struct {
+		ID          string
+		Queue, Pool string
+		Spec        *wire.WorkSpec
+		State       wire.WorkState
+		AcceptedAt  time.Time
+		EndedAt     time.Time
+		Sequence    uint64
+		// Occurrences hold the stages of each time the steps run.
+		Occurrences [][]*Stage
+		open        int // stages not ended
+		begun       bool
+	}
+
+	// Stage is one step of one occurrence of a job.
+	Stage struct {
+		Job        *Job
+		Occurrence uint32
+		Index      uint32
+		Step       *wire.Step
+		Tasks      []*Task
+		// Due is when the stage may start at the earliest; zero is at once.
+		Due time.Time
+		// Longest is the declared time from this stage's start to the end of
+		// the job along the longest chain.
+		Longest time.Duration
+
+		waitsFor int // stages before it that haven't ended
+		next     []*Stage
+		done     int
+		// Unplaced counts the tasks that neither run nor have ended.
+		Unplaced int
+	}
+
+	// Task is one task of a stage.
+	Task struct {
+		Stage    *Stage
+		Index    uint32
+		Run      uint32 // number of its latest run; 0 before the first
+		Failures uint32
+		Done     bool
+		// Checkpoint is what the next run resumes from; empty for none.
+		Checkpoint string
+		// Runner is where the latest run may exist; empty when it surely
+		// exists nowhere.
+		Runner string
+		// LastFailedOn is the runner of the latest failed run.
+		LastFailedOn string
+	}
+)
+
+// ID names the task's latest run.
+func (t *Task) ID() *wire.RunId {
+	s := t.Stage
+	return &wire.RunId{Job: s.Job.ID, Occurrence: s.Occurrence, Step: s.Index, Index: t.Index, Run: t.Run}
+}
+
+// Placeable tells whether the task waits to be placed.
+func (t *Task) Placeable() bool { return !t.Done && t.Runner == "" }
+
+// Ended tells whether a job has reached its final state.
+func (j *Job) Ended() bool {
+	return j.State != wire.WorkState_WORK_STATE_QUEUED && j.State != wire.WorkState_WORK_STATE_RUNNING
+}
+
+// Standing tells whether the stage's tasks run until the job is cancelled.
+func (s *Stage) Standing() bool { return s.Step.Standing }
+
+func (s *Stage) before(other *Stage) bool {
+	switch {
+	case s.Job.Sequence != other.Job.Sequence:
+		return s.Job.Sequence < other.Job.Sequence
+	case s.Occurrence != other.Occurrence:
+		return s.Occurrence < other.Occurrence
+	default:
+		return s.Index < other.Index
+	}
+}
+
+// build makes the stages that a job's spec describes.
+func (j *Job) build() {
+	times := max(j.Spec.Occurrences, 1)
+	for k := range times {
+		var due time.Time
+		if j.Spec.Occurrences > 0 {
+			due = j.Spec.FirstDue.AsTime().Add(time.Duration(k) * j.Spec.Period.AsDuration())
+		}
+		stages := make([]*Stage, len(j.Spec.Steps))
+		for i, step := range j.Spec.Steps {
+			s := &Stage{Job: j, Occurrence: k, Index: uint32(i), Step: step, Due: due, Unplaced: int(step.Count)}
+			s.Tasks = make([]*Task, step.Count)
+			for n := range s.Tasks {
+				s.Tasks[n] = &Task{Stage: s, Index: uint32(n)}
+			}
+			stages[i] = s
+		}
+		link(stages)
+		j.Occurrences = append(j.Occurrences, stages)
+		j.open += len(stages)
+	}
+}
+
+// link connects the stages of one occurrence. Steps name only earlier ones, so
+// that going backwards meets each stage after all that follow it.
+func link(stages []*Stage) {
+	for _, s := range stages {
+		for _, before := range distinct(s.Step.After) {
+			stages[before].next = append(stages[before].next, s)
+			s.waitsFor++
+		}
+	}
+	for i := len(stages) - 1; i >= 0; i-- {
+		s := stages[i]
+		for _, n := range s.next {
+			s.Longest = max(s.Longest, n.Longest)
+		}
+		s.Longest += time.Duration(s.Step.EstimateMs) * time.Millisecond
+	}
+}
+
+func distinct(numbers []uint32) []uint32 {
+	seen := map[uint32]bool{}
+	var kept []uint32
+	for _, n := range numbers {
+		if !seen[n] {
+			seen[n] = true
+			kept = append(kept, n)
+		}
+	}
+	return kept
+}
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -13,6 +13,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +21,7 @@
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
+	"sycamoredeck.example/internal/base/boot"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/quorum"
 	"sycamoredeck.example/internal/store/state"
@@ -33,6 +35,10 @@
 	maxDrain = 4096
 	// ticksPerHeartbeat makes the log's ticks finer than its heartbeats.
 	ticksPerHeartbeat = 2
+	// rightPercent of the election timeout is how long a confirmed round gives
+	// the right to lead; the rest covers clocks that run at different rates
+	// and the time between the check and the act.
+	rightPercent = 80
 )
 
 // What a proposal or read can come to. Each layer above turns these into its
@@ -63,7 +69,10 @@
 		ElectionTimeout   time.Duration
 		SnapshotRecords   uint64
 		Clock             clockwork.Clock
-		Logger            *slog.Logger
+		// Boot is a clock that also counts the time during which the instance
+		// is suspended, from any fixed moment; package boot's when nil.
+		Boot   func() time.Duration
+		Logger *slog.Logger
 		// Send hands messages to the transport. It must not block and may
 		// lose them.
 		Send func(to *wire.ControlMember, messages []*wire.PeerMessage)
@@ -95,6 +104,7 @@
 	sentRound struct {
 		round uint64
 		at    time.Time
+		boot  time.Duration
 	}
 
 	// Node is one running replica.
@@ -122,6 +132,9 @@
 		// stamped with it, so that a freeze in mid-turn makes the leadership
 		// that the round confirms look older than it is, never younger.
 		turnBegan time.Time
+		bootBegan time.Duration
+		// right is what RightToLead tells.
+		right atomic.Pointer[leadRight]
 		// saving is closed when the snapshot under way is written; nil when
 		// there is none.
 		saving chan struct{}
@@ -131,6 +144,9 @@
 
 // New returns a replica that resumes from what its folder held.
 func New(options Options, log *walog.Log, durable *walog.Durable, machine *state.Machine) (*Node, error) {
+	if options.Boot == nil {
+		options.Boot = boot.Now
+	}
 	n := &Node{
 		options: options, log: log, machine: machine,
 		inbox: make(chan func(), inboxLength), quit: make(chan struct{}), done: make(chan struct{}),
@@ -162,10 +178,10 @@
 			n.failAll(ErrStopped)
 			return
 		case <-ticker.Chan():
-			n.turnBegan = n.options.Clock.Now()
+			n.beginTurn()
 			n.core.Tick()
 		case f := <-n.inbox:
-			n.turnBegan = n.options.Clock.Now()
+			n.beginTurn()
 			f()
 			n.drain()
 		}
@@ -176,6 +192,11 @@
 	}
 }
 
+func (n *Node) beginTurn() {
+	n.turnBegan = n.options.Clock.Now()
+	n.bootBegan = n.options.Boot()
+}
+
 // Stop ends the loop and waits for it.
 func (n *Node) Stop() {
 	close(n.quit)
@@ -302,3 +323,22 @@
 // ConfirmedAt is, on the loop, the last moment at which this replica surely
 // led: when the latest round began that a quorum has answered.
 func (n *Node) ConfirmedAt() time.Time { return n.confirmed }
+
+// leadRight is a leadership that a quorum confirmed.
+type leadRight struct {
+	term uint64
+	at   time.Duration // by the boot clock
+}
+
+// RightToLead tells, from any goroutine, whether this replica surely leads in
+// the given term at this moment. A quorum has answered a round that began less
+// than an election timeout ago, and gives no vote within that time.
+//
+// It is measured on a clock that counts suspension: an instance that was
+// suspended for seconds would else believe on waking that its last round was
+// answered just now, and send orders beside the next leader.
+func (n *Node) RightToLead(term uint64) bool {
+	r := n.right.Load()
+	limit := n.options.ElectionTimeout * rightPercent / 100
+	return r != nil && r.term == term && n.options.Boot()-r.at < limit
+}
--- a/internal/store/node/turn.go
+++ b/internal/store/node/turn.go
@@ -201,15 +201,21 @@
 // noteRounds keeps when each round was sent until a quorum has answered it.
 func (n *Node) noteRounds() {
 	status := n.core.Status()
+	if status.Role != quorum.Leader || status.HandingOver {
+		n.right.Store(nil)
+	}
 	if status.Role != quorum.Leader {
 		n.rounds, n.confirmed = nil, time.Time{}
 		return
 	}
 	if len(n.rounds) == 0 || n.rounds[len(n.rounds)-1].round < status.Round {
-		n.rounds = append(n.rounds, sentRound{status.Round, n.turnBegan})
+		n.rounds = append(n.rounds, sentRound{status.Round, n.turnBegan, n.bootBegan})
 	}
 	for len(n.rounds) > 0 && n.rounds[0].round <= status.ConfirmedRound {
 		n.confirmed = n.rounds[0].at
+		if !status.HandingOver {
+			n.right.Store(&leadRight{term: status.Term, at: n.rounds[0].boot})
+		}
 		n.rounds = n.rounds[1:]
 	}
 }
--- a/internal/store/peers/found.go
+++ b/internal/store/peers/found.go
@@ -36,6 +36,9 @@
 	Self    *wire.ControlMember
 	Members []*wire.ControlMember // founding members; their ids aren't known
 	Pool    *link.Pool
+	// JoinOnly forbids founding: the system was founded before, and whoever
+	// can't be reached now may hold its state.
+	JoinOnly bool
 
 	mu         sync.Mutex
 	membership *wire.Membership
@@ -101,11 +104,7 @@
 
 func (f *Founder) tryFound(ctx context.Context) *wire.Membership {
 	founding := []*wire.ControlMember{voter(f.Self)}
-	for _, m := range f.Members {
-		if m.Address == f.Self.Address {
-			continue
-		}
-		answer := f.ask(ctx, m.Address)
+	for _, answer := range f.askFounders(ctx) {
 		if answer.GetFounding() != nil {
 			return joining(answer.Founding, f.Self.ReplicaId)
 		}
@@ -113,21 +112,69 @@
 			founding = append(founding, voter(answer.Self))
 		}
 	}
-	if len(founding) < len(f.Members) {
+	if f.JoinOnly || !f.founds() || len(founding) < len(f.Members) {
 		return nil // the silent ones may have state
 	}
 	sort.Slice(founding, func(i, j int) bool { return founding[i].Name < founding[j].Name })
 	return &wire.Membership{Members: founding, ClusterId: clusterID(founding)}
 }
 
-// Announce tells the founding members that this replica waits to be let in,
-// so that an operator sees it.
-func (f *Founder) Announce(ctx context.Context) {
-	for _, m := range f.Members {
+// askFounders asks the founding members at once, since each silent one costs a
+// timeout; nil stands for those that didn't answer.
+func (f *Founder) askFounders(ctx context.Context) []*wire.IdentifyResponse {
+	answers := make([]*wire.IdentifyResponse, len(f.Members))
+	var asked sync.WaitGroup
+	for i, m := range f.Members {
 		if m.Address != f.Self.Address {
-			f.ask(ctx, m.Address)
+			asked.Go(func() { answers[i] = f.ask(ctx, m.Address) })
+		}
+	}
+	asked.Wait()
+	return answers
+}
+
+// founds tells whether this replica is one of the founding members. Others
+// join what those have founded.
+func (f *Founder) founds() bool {
+	for _, m := range f.Members {
+		if m.Address == f.Self.Address {
+			return true
+		}
+	}
+	return false
+}
+
+// Announce tells all replicas known that this one waits to be let in. Any of
+// them may lead, and the founding members may be gone by now.
+func (f *Founder) Announce(ctx context.Context) {
+	var asked sync.WaitGroup
+	for _, address := range f.addresses() {
+		asked.Go(func() { f.ask(ctx, address) })
+	}
+	asked.Wait()
+}
+
+func (f *Founder) addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	seen := map[string]bool{f.Self.Address: true}
+	var addresses []string
+	add := func(m *wire.ControlMember) {
+		if !seen[m.GetAddress()] {
+			seen[m.GetAddress()] = true
+			addresses = append(addresses, m.GetAddress())
 		}
 	}
+	for _, m := range f.Members {
+		add(m)
+	}
+	for _, m := range f.membership.GetMembers() {
+		add(m)
+	}
+	for _, m := range f.known {
+		add(m)
+	}
+	return addresses
 }
 
 func (f *Founder) ask(ctx context.Context, address string) *wire.IdentifyResponse {
--- a/internal/store/quorum/member.go
+++ b/internal/store/quorum/member.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"google.golang.org/protobuf/proto"
 
@@ -59,6 +60,28 @@
 	})
 }
 
+// Replace gives a caught-up learner the vote of a replica that will surely
+// never vote again, because its disk is gone. It is one change, so that the
+// number of voters, and with it the losses that are survived, never falls.
+//
+// Majorities before and after the change need not share a replica if the old
+// identity still votes; since it doesn't, any two have one of the others in
+// common.
+func (c *Core) Replace(old, learner uint64) error {
+	return c.change(func(next *wire.Membership) error {
+		if err := c.CaughtUp(learner); err != nil {
+			return err
+		}
+		gone := findMember(next, old)
+		if gone == nil {
+			return ErrUnknownMember
+		}
+		findMember(next, learner).Voter = gone.Voter
+		next.Members = slices.DeleteFunc(next.Members, func(m *wire.ControlMember) bool { return m.ReplicaId == old })
+		return nil
+	})
+}
+
 // CaughtUp tells whether a replica holds nearly all records: nil, or
 // ErrBehind.
 func (c *Core) CaughtUp(id uint64) error {
--- a/internal/store/state/apply.go
+++ b/internal/store/state/apply.go
@@ -68,6 +68,9 @@
 		return m.sweep(c)
 	case *wire.Command_FailJob:
 		return m.failJob(c, body.FailJob)
+	case *wire.Command_Work:
+		res := m.graph.Apply(c.At.AsTime(), body.Work)
+		return Result{Err: res.Err, Placed: res.Placed}
 	default:
 		return Result{}
 	}
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
 )
 
 const (
@@ -66,12 +67,13 @@
 		finished       uint64
 		kinds          map[string]*wire.JobKind
 		accounts       map[string]*wire.ClientAccount
+		graph          *graph.Graph
 	}
 )
 
 // New returns the empty state.
 func New(options Options) *Machine {
-	m := &Machine{options: options}
+	m := &Machine{options: options, graph: graph.New()}
 	m.reset()
 	return m
 }
@@ -108,6 +110,9 @@
 	return versions
 }
 
+// Graph returns the part of the state that holds the jobs of steps.
+func (m *Machine) Graph() *graph.Graph { return m.graph }
+
 // Kind returns a job kind of a client account, or nil.
 func (m *Machine) Kind(account, kind string) *wire.JobKind {
 	return m.kinds[pairKey(account, kind)]
@@ -214,6 +219,7 @@
 		NextSequence:   m.nextSequence,
 		Finished:       m.finished,
 		Quarantines:    m.quarantines,
+		Work:           m.graph.Save(),
 	}
 	for _, j := range m.jobs {
 		s.Jobs = append(s.Jobs, j)
@@ -243,6 +249,7 @@
 	for _, o := range s.Operations {
 		m.rememberOperation(o)
 	}
+	m.graph.Load(s.Work)
 	m.indexConfiguration()
 	for id, reason := range s.Quarantines {
 		m.quarantines[id] = reason
