--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -53,6 +53,7 @@
 		placing   bool
 		nextTimed time.Duration
 		learned   learning
+		pressure  pressure
 	}
 )
 
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -1,80 +1,210 @@
-// This file defines how opportunistic runs are slowed where they disturb
-// standing ones.
+// This file defines how opportunistic runs are kept from disturbing standing
+// ones: slowed, moved away, or let go again.
 
 package drive
 
-import "time"
+import (
+	"sort"
+	"time"
+)
 
 const (
-	// tightShare of a latency target is where new opportunistic work goes
-	// elsewhere if it can.
-	tightShare = 0.6
-	// overShare of the target is where opportunistic work beside is slowed:
-	// below the target, since tails are told half a second late and the pace
-	// takes effect a tenth of a second after its order.
+	// overShare of a latency target is where opportunistic work beside is
+	// slowed: below the target, since tails are told half a second late and
+	// the pace takes effect a tenth of a second after its order.
 	overShare = 0.85
-	// easeShare of the target is where it may go faster again.
-	easeShare = 0.5
-	// slowPause lies between two steps down: the time until a step shows in
-	// the tails. easePause lies between steps up.
+	// goalShare of the target is what slowing aims at, and up to which new
+	// work may be placed beside.
+	goalShare = 0.7
+	// easeShare of the target is what is expected at most where a slowed run
+	// is let go again.
+	easeShare = 0.6
+	// slowPause lies between two changes of pace on a runner: the time until
+	// one shows in the tails.
 	slowPause = 700 * time.Millisecond
-	easePause = 1500 * time.Millisecond
+	// moveBelow is the pace under which a run that saves its progress is
+	// better stopped and resumed elsewhere.
+	moveBelow = 50
+	// paceGrain keeps paces to few values.
+	paceGrain = 10
+	// usualUse is the part of its declared processors that an opportunistic
+	// run uses; taken where nothing was told yet.
+	usualUse = 0.8
 )
 
-// paceSteps are the shares at which an opportunistic run may work.
-var paceSteps = []int{0, 20, 50, 100}
+// loadBeside is what the opportunistic runs on a runner were told to use.
+func loadBeside(at *runner) load {
+	beside := load{}
+	for t, r := range at.runs {
+		if t.Stage.Step.Opportunistic && r.phase == phaseRunning {
+			beside[t.Stage.Step.Image] += at.share(float64(r.usage))
+		}
+	}
+	return beside
+}
+
+func (r *runner) share(cpuMillis float64) float64 {
+	return cpuMillis / max(float64(r.record.CpuMillis), 1)
+}
 
-// watchTails decides the pace of the opportunistic runs on a runner from what
-// its standing runs told.
+// fullShare is what an opportunistic run would use at full pace.
+func (r *run) fullShare() float64 {
+	use := float64(r.task.Stage.Step.CpuMillis) * usualUse
+	if r.usage > 0 && r.pace > 0 {
+		use = float64(r.usage) * fullPace / float64(r.pace)
+	}
+	return r.runner.share(use)
+}
+
+// watchTails learns from what a runner told of its standing runs, and slows or
+// lets go the opportunistic ones there.
 func (e *Engine) watchTails(at *runner) {
-	worst := -1.0
+	if !at.standing {
+		e.letAllGo(at)
+		return
+	}
+	beside := loadBeside(at)
+	var worst *run
+	worstOver := 0.0
 	for t, r := range at.runs {
-		target := t.Stage.Step.TailTargetMs
-		if target > 0 && r.phase == phaseRunning && r.usageAt == e.now {
-			worst = max(worst, float64(r.usage)/float64(target))
+		target := float64(t.Stage.Step.TailTargetMs)
+		if target == 0 || r.phase != phaseRunning || r.usageAt != e.now || r.percent < 100 || r.usage == 0 {
+			continue
+		}
+		e.learnTail(r, beside)
+		if over := logOf(float64(r.usage)) - logOf(target*overShare); over > worstOver || worst == nil && over > 0 {
+			worst, worstOver = r, over
+		}
+	}
+	if e.now-at.paceChanged < slowPause {
+		return
+	}
+	if worst != nil {
+		e.slowBeside(worst)
+		return
+	}
+	e.ease(at)
+}
+
+// learnTail learns from one reading of a standing run.
+func (e *Engine) learnTail(r *run, beside load) {
+	image := r.task.Stage.Step.Image
+	tail := logOf(float64(r.usage))
+	own := tail - e.pressure.added(image, beside)
+	if !r.quietKnown {
+		r.quiet, r.quietKnown = logOf(float64(r.task.Stage.Step.TailTargetMs)*usualQuiet), true
+	}
+	if len(beside) > 0 {
+		e.pressure.learn(image, beside, tail, r.quiet)
+	}
+	r.quiet += (own - r.quiet) * quietStep
+}
+
+// slowBeside slows those opportunistic runs that add most to a standing run's
+// tail, until it is expected to keep its target again.
+func (e *Engine) slowBeside(standing *run) {
+	at := standing.runner
+	target := float64(standing.task.Stage.Step.TailTargetMs)
+	excess := logOf(float64(standing.usage)) - logOf(target*goalShare)
+	for _, r := range e.offenders(standing) {
+		if excess <= 0 {
+			return
+		}
+		adds := e.addsTo(standing, r)
+		part := min(excess/max(adds, 0.01), 1)
+		pace := int(float64(r.wantedPace)*(1-part)) / paceGrain * paceGrain
+		excess -= adds * part
+		at.paceChanged = e.now
+		if pace < moveBelow && r.task.Stage.Step.Checkpointable {
+			e.moveAway(r, standing)
 		}
+		e.setPace(r, pace, standing)
 	}
-	if worst < 0 {
-		worst = 0 // nobody to disturb
+}
+
+// moveAway stops an opportunistic run so that it resumes on another runner.
+func (e *Engine) moveAway(r, standing *run) {
+	r.stopReason = "it disturbs a standing run"
+	r.task.AvoidRunner = r.runner.record.Id
+	e.options.Logger.Info("run moved away", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
+		"runner", r.runner.record.Id, "disturbed", standing.task.Stage.Job.ID, "tail_ms", standing.usage)
+}
+
+// addsTo is what a run adds to the logarithm of a standing run's tail now.
+func (e *Engine) addsTo(standing, r *run) float64 {
+	weight := e.pressure.weight(standing.task.Stage.Step.Image, r.task.Stage.Step.Image)
+	return weight * r.runner.share(float64(r.usage))
+}
+
+// offenders are the opportunistic runs beside a standing one, those that add
+// most first.
+func (e *Engine) offenders(standing *run) []*run {
+	var list []*run
+	for t, r := range standing.runner.runs {
+		if t.Stage.Step.Opportunistic && r.phase == phaseRunning && r.wantedPace > 0 && r.stopReason == "" {
+			list = append(list, r)
+		}
 	}
+	sort.Slice(list, func(i, k int) bool {
+		a, b := e.addsTo(standing, list[i]), e.addsTo(standing, list[k])
+		if a != b {
+			return a > b
+		}
+		return list[i].task.Stage.Job.ID < list[k].task.Stage.Job.ID
+	})
+	return list
+}
+
+// ease lets a slowed run go again where no standing run is expected to suffer.
+func (e *Engine) ease(at *runner) {
 	for t, r := range at.runs {
-		if !t.Stage.Step.Opportunistic || r.phase != phaseRunning {
+		if !t.Stage.Step.Opportunistic || r.wantedPace >= fullPace || r.phase != phaseRunning || r.stopReason != "" {
 			continue
 		}
-		switch {
-		case worst > overShare && e.now-r.paceChanged >= slowPause:
-			e.setPace(r, stepDown(r.wantedPace), worst)
-		case worst < easeShare && e.now-r.paceChanged >= easePause:
-			e.setPace(r, stepUp(r.wantedPace), worst)
+		if e.harmless(at, t.Stage.Step.Image, r.fullShare()*float64(fullPace-r.pace)/fullPace) {
+			at.paceChanged = e.now
+			e.setPace(r, fullPace, nil)
+			return
 		}
 	}
 }
 
-func (e *Engine) setPace(r *run, percent int, worst float64) {
-	if percent == r.wantedPace {
-		return
+// harmless tells whether all standing runs on a runner are expected to keep
+// their targets well with more load of an image beside them.
+func (e *Engine) harmless(at *runner, image string, share float64) bool {
+	for t, r := range at.runs {
+		target := float64(t.Stage.Step.TailTargetMs)
+		if target == 0 || r.phase != phaseRunning {
+			continue
+		}
+		expected := logOf(float64(r.usage)) + e.pressure.weight(t.Stage.Step.Image, image)*share
+		if expected > logOf(target*easeShare) {
+			return false
+		}
 	}
-	e.options.Logger.Debug("pace changed", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
-		"runner", r.runner.record.Id, "from", r.wantedPace, "to", percent, "worst_tail_share", worst)
-	r.wantedPace, r.paceChanged = percent, e.now
+	return true
 }
 
-func stepDown(percent int) int {
-	for i := len(paceSteps) - 1; i >= 0; i-- {
-		if paceSteps[i] < percent {
-			return paceSteps[i]
+// letAllGo ends all slowing where there is no standing run any more.
+func (e *Engine) letAllGo(at *runner) {
+	for t, r := range at.runs {
+		if t.Stage.Step.Opportunistic {
+			e.setPace(r, fullPace, nil)
 		}
 	}
-	return 0
 }
 
-func stepUp(percent int) int {
-	for _, step := range paceSteps {
-		if step > percent {
-			return step
-		}
+func (e *Engine) setPace(r *run, percent int, standing *run) {
+	if percent == r.wantedPace {
+		return
+	}
+	tail := 0
+	if standing != nil {
+		tail = standing.usage
 	}
-	return fullPace
+	e.options.Logger.Debug("pace changed", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
+		"runner", r.runner.record.Id, "from", r.wantedPace, "to", percent, "tail_ms", tail)
+	r.wantedPace = percent
 }
 
 func (e *Engine) tendPace(r *run) {
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -37,10 +37,17 @@
 		idle     float64
 		capacity float64
 		standing int
-		// tight tells that a standing task there has little margin left to its
-		// latency target.
-		tight  bool
-		stages map[*graph.Stage]int
+		images   map[string]int // standing tasks by image
+		served   []served
+		stages   map[*graph.Stage]int
+	}
+
+	// served is a standing task with a latency target on a runner.
+	served struct {
+		image string
+		// expected is the logarithm of its tail with all that is placed beside
+		// it at full pace, limit that of what it should stay below.
+		expected, limit float64
 	}
 
 	// pass is one round of placing.
@@ -119,12 +126,11 @@
 		c := r.record
 		m := &room{
 			runner: r, cpu: float64(c.CpuMillis), memory: float64(c.MemoryMb), accel: float64(c.Accelerators),
-			idle: float64(c.CpuMillis), capacity: float64(c.CpuMillis), stages: map[*graph.Stage]int{},
+			idle: float64(c.CpuMillis), capacity: float64(c.CpuMillis), stages: map[*graph.Stage]int{}, images: map[string]int{},
 		}
-		for t, known := range r.runs {
+		e.expectTails(m)
+		for t := range r.runs {
 			m.take(t.Stage)
-			target := t.Stage.Step.TailTargetMs
-			m.tight = m.tight || (target > 0 && known.usage > int(float64(target)*tightShare))
 		}
 		rooms[c.Pool] = append(rooms[c.Pool], m)
 	}
@@ -134,6 +140,42 @@
 	return rooms
 }
 
+// expectTails works out what tails the standing tasks on a runner will have
+// with all that is placed beside them at full pace.
+func (e *Engine) expectTails(m *room) {
+	beside := load{}
+	for t, r := range m.runner.runs {
+		if t.Stage.Step.Opportunistic && r.stopReason == "" {
+			beside[t.Stage.Step.Image] += r.fullShare()
+		}
+	}
+	for t, r := range m.runner.runs {
+		target := float64(t.Stage.Step.TailTargetMs)
+		if target == 0 {
+			continue
+		}
+		quiet := logOf(target * usualQuiet)
+		if r.quietKnown {
+			quiet = r.quiet
+		}
+		image := t.Stage.Step.Image
+		m.served = append(m.served, served{image: image, expected: quiet + e.pressure.added(image, beside), limit: logOf(target * goalShare)})
+	}
+}
+
+// disturbs is how much a task would add to the tails of the standing tasks on
+// a runner, and whether all of them are expected to stay below their limits.
+func (p *pass) disturbs(s *graph.Stage, m *room) (adds float64, bearable bool) {
+	share := m.runner.share(float64(s.Step.CpuMillis) * usualUse)
+	bearable = true
+	for _, v := range m.served {
+		more := p.engine.pressure.weight(v.image, s.Step.Image) * share
+		adds += more
+		bearable = bearable && v.expected+more <= v.limit
+	}
+	return adds, bearable
+}
+
 func (m *room) take(s *graph.Stage) {
 	step := s.Step
 	cpu := float64(step.CpuMillis)
@@ -144,6 +186,7 @@
 		m.cpu -= cpu
 		m.idle -= cpu * standingUse
 		m.standing++
+		m.images[step.Image]++
 	default:
 		m.cpu -= cpu
 		m.idle -= cpu
@@ -269,11 +312,28 @@
 
 func (p *pass) take(t *graph.Task, m *room, number uint32) {
 	m.take(t.Stage)
+	p.noteBeside(t.Stage, m)
 	id := t.ID()
 	id.Run = number
 	p.placed = append(p.placed, &wire.RunPlacement{Id: id, Runner: m.runner.record.Id})
 }
 
+// noteBeside adds a newly placed task to what is expected of the tails there.
+func (p *pass) noteBeside(s *graph.Stage, m *room) {
+	step := s.Step
+	if step.TailTargetMs > 0 {
+		target := float64(step.TailTargetMs)
+		m.served = append(m.served, served{image: step.Image, expected: logOf(target * usualQuiet), limit: logOf(target * goalShare)})
+	}
+	if !step.Opportunistic {
+		return
+	}
+	share := m.runner.share(float64(step.CpuMillis) * usualUse)
+	for i := range m.served {
+		m.served[i].expected += p.engine.pressure.weight(m.served[i].image, step.Image) * share
+	}
+}
+
 // choose returns the runner that a task is best placed on, or nil.
 func (p *pass) choose(t *graph.Task, rooms []*room) *room {
 	var best *room
@@ -301,14 +361,17 @@
 		cost += 2
 	}
 	if step.Opportunistic {
-		if m.tight {
-			cost += 1
+		adds, bearable := p.disturbs(t.Stage, m)
+		if !bearable || t.AvoidRunner == m.runner.record.Id {
+			return math.Inf(1)
 		}
-		return cost - m.idle/max(m.capacity, 1)
+		return cost + adds - m.idle/max(m.capacity, 1)
 	}
 	if step.Standing {
-		// Spread: what fails together, and what disturbs each other, is less.
-		return cost + float64(m.standing)*0.1 - m.cpu/max(m.capacity, 1)
+		// Like images are disturbed by the same ones. Where they are together,
+		// there are runners left for each kind of opportunistic work.
+		alike := float64(m.images[step.Image]) / float64(m.standing+1)
+		return cost - 0.5*alike - m.cpu/max(m.capacity, 1)
 	}
 	return cost - 0.5*m.cpu/max(m.capacity, 1)
 }
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -57,16 +57,17 @@
 	stopping   bool // a stop is on its way
 	nextStop   time.Duration
 
-	percent     int
-	progressAt  time.Duration
-	usage       int
-	usageAt     time.Duration
-	pace        int
-	wantedPace  int
-	pacing      bool
-	paceChanged time.Duration
-	overSince   time.Duration
-	ending      bool // its end is being committed
+	percent    int
+	progressAt time.Duration
+	usage      int
+	usageAt    time.Duration
+	pace       int
+	wantedPace int
+	pacing     bool
+	// quiet is the logarithm of a standing run's tail without others' doing.
+	quiet      float64
+	quietKnown bool
+	ending     bool // its end is being committed
 }
 
 func (r *run) seenRunning(now time.Duration, s *RunStatus) {
--- a/internal/sched/drive/runner.go
+++ b/internal/sched/drive/runner.go
@@ -50,6 +50,7 @@
 	// reportSequence is that of the latest heartbeat.
 	reportSequence uint64
 	standing       bool // a run with a latency target is there
+	paceChanged    time.Duration
 }
 
 func (e *Engine) newRunner(registered *graph.Runner) *runner {
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -58,6 +58,9 @@
 		Runner string
 		// LastFailedOn is the runner of the latest failed run.
 		LastFailedOn string
+		// AvoidRunner is where it disturbed others; the leader's own note, not
+		// part of the replicated state.
+		AvoidRunner string
 	}
 )
 
