--- a/internal/base/admin/admin.go
+++ b/internal/base/admin/admin.go
@@ -68,16 +68,18 @@
 	}
 }
 
-// Logger makes the logger that the settings ask for.
-func Logger(w io.Writer, s *wire.CommonSettings) *slog.Logger {
+// Logger makes the logger that the settings ask for, and how to write out what
+// it still holds. It never blocks: see Lines.
+func Logger(w io.Writer, s *wire.CommonSettings) (*slog.Logger, func()) {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(s.LogLevel)); err != nil {
 		level = slog.LevelInfo
 	}
 	options := &slog.HandlerOptions{Level: level}
-	var handler slog.Handler = slog.NewTextHandler(w, options)
+	lines := NewLines(w)
+	var handler slog.Handler = slog.NewTextHandler(lines, options)
 	if s.LogFormat == "json" {
-		handler = slog.NewJSONHandler(w, options)
+		handler = slog.NewJSONHandler(lines, options)
 	}
-	return slog.New(handler).With("instance", s.InstanceId, "failure_domain", s.FailureDomain)
+	return slog.New(handler).With("instance", s.InstanceId, "failure_domain", s.FailureDomain), lines.Close
 }
--- /dev/null
+++ b/internal/base/admin/lines.go
@@ -0,0 +1,63 @@
+// This file defines Lines, the queue that log lines go through.
+
+package admin
+
+import (
+	"io"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// queuedLines is how many log lines wait for a slow reader: about a second of
+// the most that a control replica writes, and at most some 2 MB.
+const queuedLines = 4096
+
+var linesDropped = metrics.NewCounter("sycamoredeck_log_lines_dropped_total")
+
+// Lines passes log lines on to a writer without ever blocking. Whoever reads
+// the process's output may stop reading; a write would then hold up the request
+// or the loop that logs. Lines that find the queue full are counted and lost.
+type Lines struct {
+	to      io.Writer
+	queue   chan []byte
+	done    chan struct{}
+	closing sync.Once
+}
+
+var _ io.Writer = (*Lines)(nil)
+
+// NewLines starts passing lines on to w.
+func NewLines(w io.Writer) *Lines {
+	l := &Lines{to: w, queue: make(chan []byte, queuedLines), done: make(chan struct{})}
+	go l.run()
+	return l
+}
+
+// Write queues one line. It always reports success.
+func (l *Lines) Write(line []byte) (int, error) {
+	held := append([]byte(nil), line...)
+	select {
+	case l.queue <- held:
+	default:
+		linesDropped.Inc()
+	}
+	return len(line), nil
+}
+
+// Close writes out what is queued. Lines written after that are lost.
+func (l *Lines) Close() {
+	l.closing.Do(func() { l.queue <- nil })
+	<-l.done
+}
+
+func (l *Lines) run() {
+	defer close(l.done)
+	for line := range l.queue {
+		if line == nil {
+			return
+		}
+		// There is no place to report that logs can't be written.
+		_, _ = l.to.Write(line)
+	}
+}
--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -153,29 +154,58 @@
 	}
 }
 
-// daemon makes the command of a long-running process.
-func daemon[M proto.Message](use, short string, settings M, run func(context.Context, M) error) *cobra.Command {
+// daemon makes the command of a long-running process. Run gets a channel of
+// settings that were read anew, after SIGHUP or a change of the settings file.
+func daemon[M proto.Message](use, short string, settings M, run func(context.Context, M, *slog.Logger, <-chan M) error, p *program) *cobra.Command {
 	c := &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs}
 	binder := setup.Bind(settings, c.Flags())
 	c.RunE = func(c *cobra.Command, _ []string) error {
+		// From the first moment on: a hangup ends a process that doesn't heed it.
+		hangups := make(chan os.Signal, 1)
+		signal.Notify(hangups, syscall.SIGHUP)
 		if err := binder.Load(); err != nil {
 			return err
 		}
-		return run(c.Context(), settings)
+		logger, flush := admin.Logger(p.out, common(settings))
+		defer flush()
+		reloads := make(chan M, 1)
+		go binder.Watch(c.Context(), hangups, func() { reload(binder, logger, reloads) })
+		return run(c.Context(), settings, logger, reloads)
 	}
 	return c
 }
 
+// common are the settings that all daemons share.
+func common(settings proto.Message) *wire.CommonSettings {
+	shared, _ := settings.(interface{ GetCommon() *wire.CommonSettings })
+	return shared.GetCommon()
+}
+
+// reload reads the settings anew. Wrong ones leave the old in force.
+func reload[M proto.Message](binder *setup.Binder, logger *slog.Logger, reloads chan M) {
+	fresh, err := binder.Reload()
+	if err != nil {
+		logger.Error("settings not read anew; the old ones stay", "error", err)
+		return
+	}
+	logger.Info("settings read anew")
+	select {
+	case reloads <- fresh.(M):
+	default:
+		logger.Warn("settings change faster than they are taken; the next change is taken")
+	}
+}
+
 func (p *program) entryCommand() *cobra.Command {
-	return daemon("entry", "Run an entry process", &wire.EntrySettings{}, func(ctx context.Context, s *wire.EntrySettings) error {
-		return entry.Run(ctx, s, admin.Logger(p.out, s.Common), p.platforms.Entry)
-	})
+	return daemon("entry", "Run an entry process", &wire.EntrySettings{}, func(ctx context.Context, s *wire.EntrySettings, logger *slog.Logger, reloads <-chan *wire.EntrySettings) error {
+		return entry.Run(ctx, s, logger, p.platforms.Entry, reloads)
+	}, p)
 }
 
 func (p *program) controlCommand() *cobra.Command {
-	return daemon("control", "Run a control process", &wire.ControlSettings{}, func(ctx context.Context, s *wire.ControlSettings) error {
-		return ctrl.Run(ctx, s, admin.Logger(p.out, s.Common), p.platforms.Control)
-	})
+	return daemon("control", "Run a control process", &wire.ControlSettings{}, func(ctx context.Context, s *wire.ControlSettings, logger *slog.Logger, reloads <-chan *wire.ControlSettings) error {
+		return ctrl.Run(ctx, s, logger, p.platforms.Control, reloads)
+	}, p)
 }
 
 func (p *program) versionCommand() *cobra.Command {
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -67,13 +67,14 @@
 		options Options
 		current atomic.Pointer[wire.ConfigurationVersion]
 
-		mu       sync.Mutex
-		replicas map[string]heard
-		loops    map[string]context.CancelFunc
-		entries  []*wire.EntryStatus
-		ids      []string
-		leader   string
-		term     uint64
+		mu        sync.Mutex
+		addresses []string // as the settings name them
+		replicas  map[string]heard
+		loops     map[string]context.CancelFunc
+		entries   []*wire.EntryStatus
+		ids       []string
+		leader    string
+		term      uint64
 		// fetching guards against several loops fetching one version.
 		fetching sync.Mutex
 		// reviewing keeps EntriesChanged in the order of the views.
@@ -83,12 +84,12 @@
 
 // New returns an uplink that knows nothing yet.
 func New(options Options) *Uplink {
-	return &Uplink{options: options, replicas: map[string]heard{}, loops: map[string]context.CancelFunc{}}
+	return &Uplink{options: options, addresses: options.Addresses, replicas: map[string]heard{}, loops: map[string]context.CancelFunc{}}
 }
 
 // Run keeps in touch until the context ends.
 func (u *Uplink) Run(ctx context.Context) {
-	u.follow(ctx, u.options.Addresses)
+	u.follow(ctx, nil)
 	ticker := u.options.Clock.NewTicker(reviewInterval)
 	defer ticker.Stop()
 	for {
@@ -102,12 +103,19 @@
 	}
 }
 
+// SetAddresses takes other addresses of control replicas than the options name.
+func (u *Uplink) SetAddresses(addresses []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.addresses = addresses
+}
+
 // follow keeps one loop running for each address that is set or a member.
 func (u *Uplink) follow(ctx context.Context, addresses []string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	wanted := map[string]bool{}
-	for _, a := range append(append([]string(nil), u.options.Addresses...), addresses...) {
+	for _, a := range append(append([]string(nil), u.addresses...), addresses...) {
 		wanted[a] = true
 		if u.loops[a] == nil {
 			loop, cancel := context.WithCancel(ctx)
@@ -287,9 +295,12 @@
 // Addresses are those of all processes that this entry talks to.
 func (u *Uplink) Addresses() map[string]bool {
 	addresses := map[string]bool{}
-	for _, a := range append(u.memberAddresses(), u.options.Addresses...) {
+	members := u.memberAddresses()
+	u.mu.Lock()
+	for _, a := range append(members, u.addresses...) {
 		addresses[a] = true
 	}
+	u.mu.Unlock()
 	for _, e := range u.Entries() {
 		addresses[e.Address] = true
 	}
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -92,7 +92,7 @@
 
 // Run serves until the context ends, then hands over and stops. It returns an
 // error when the start or the disk fails.
-func Run(ctx context.Context, settings *wire.ControlSettings, logger *slog.Logger, platform Platform) error {
+func Run(ctx context.Context, settings *wire.ControlSettings, logger *slog.Logger, platform Platform, reloads <-chan *wire.ControlSettings) error {
 	c := &Control{
 		settings: settings, logger: logger, platform: platform, clock: clockwork.NewRealClock(),
 		failed: make(chan error, 1), closing: make(chan struct{}),
@@ -102,7 +102,9 @@
 		return err
 	}
 	defer flush(context.WithoutCancel(ctx))
-	if err := c.start(ctx); err != nil {
+	started, stopFollowing := context.WithCancel(ctx)
+	defer stopFollowing()
+	if err := c.start(started, reloads); err != nil {
 		return err
 	}
 	logger.Info("started", "replica", c.self.ReplicaId, "address", c.self.Address)
@@ -121,7 +123,7 @@
 	}
 }
 
-func (c *Control) start(ctx context.Context) error {
+func (c *Control) start(ctx context.Context, reloads <-chan *wire.ControlSettings) error {
 	log, durable, err := walog.Open(c.settings.DataFolder, walog.Options{})
 	if err != nil {
 		return err
@@ -138,6 +140,7 @@
 		return trace.ConvertSystemError(err)
 	}
 	c.view.Store(&view{changed: make(chan struct{})})
+	go c.followSettings(ctx, reloads)
 	c.register()
 	go c.server.Serve(listener)
 	if err := c.admin.Start(c.settings.Common.AdminAddress); err != nil {
@@ -165,12 +168,33 @@
 		name, address, _ := strings.Cut(text, "=")
 		c.founder.Members = append(c.founder.Members, &wire.ControlMember{Name: name, Address: address})
 	}
-	for _, address := range setup.Seeds(c.settings.Seeds) {
-		c.founder.Members = append(c.founder.Members, &wire.ControlMember{Name: address, Address: address})
-	}
+	c.founder.Members = append(c.founder.Members, seedMembers(c.settings)...)
 	return nil
 }
 
+// seedMembers are the control replicas that the settings name by address only.
+func seedMembers(s *wire.ControlSettings) []*wire.ControlMember {
+	var members []*wire.ControlMember
+	for _, address := range setup.Seeds(s.Seeds) {
+		members = append(members, &wire.ControlMember{Name: address, Address: address})
+	}
+	return members
+}
+
+// followSettings takes over the seeds that settings read anew name, for a
+// replica that still waits to be let in. All else holds from the next start on.
+func (c *Control) followSettings(ctx context.Context, reloads <-chan *wire.ControlSettings) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fresh := <-reloads:
+			c.founder.AddSeeds(seedMembers(fresh))
+			c.logger.Info("settings taken", "seeds", setup.Seeds(fresh.Seeds))
+		}
+	}
+}
+
 func (c *Control) found(ctx context.Context, durable *walog.Durable) error {
 	if durable.Snapshot != nil {
 		return nil
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -56,6 +56,7 @@
 // Entry is one running entry process.
 type Entry struct {
 	platform Platform
+	reloads  <-chan *wire.EntrySettings
 	settings *wire.EntrySettings
 	logger   *slog.Logger
 	clock    clockwork.Clock
@@ -74,8 +75,8 @@
 }
 
 // Run serves until the context ends, then finishes what is in flight.
-func Run(ctx context.Context, settings *wire.EntrySettings, logger *slog.Logger, platform Platform) error {
-	e := &Entry{platform: platform, settings: settings, logger: logger, clock: clockwork.NewRealClock(), closing: make(chan struct{})}
+func Run(ctx context.Context, settings *wire.EntrySettings, logger *slog.Logger, platform Platform, reloads <-chan *wire.EntrySettings) error {
+	e := &Entry{platform: platform, reloads: reloads, settings: settings, logger: logger, clock: clockwork.NewRealClock(), closing: make(chan struct{})}
 	flush, err := spans.Start(ctx, "entry", settings.Common)
 	if err != nil {
 		return err
@@ -95,14 +96,29 @@
 			return err
 		}
 	}
-	logger.Info("started", "address", settings.Common.ListenAddress, "control", e.controlAddresses())
+	logger.Info("started", "address", settings.Common.ListenAddress, "control", controlAddresses(settings))
 	return e.serve(ctx, listener, stopPlatform)
 }
 
 // controlAddresses are those at which the settings say that control replicas
 // serve.
-func (e *Entry) controlAddresses() []string {
-	return append(setup.Seeds(e.settings.Seeds), e.settings.ControlAddresses...)
+func controlAddresses(s *wire.EntrySettings) []string {
+	return append(setup.Seeds(s.Seeds), s.ControlAddresses...)
+}
+
+// followSettings takes over the control replicas that settings read anew name.
+// All else holds from the next start on.
+func (e *Entry) followSettings(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fresh := <-e.reloads:
+			addresses := controlAddresses(fresh)
+			e.uplink.SetAddresses(addresses)
+			e.logger.Info("settings taken", "control", addresses)
+		}
+	}
 }
 
 // desk has the leader deal with clients of the platform, and the next leader
@@ -121,7 +137,7 @@
 	e.pool.Traced = common.TraceEndpoint != ""
 	e.divider.Store(&slots.Divider{})
 	e.uplink = uplink.New(uplink.Options{
-		Clock: e.clock, Logger: e.logger, Pool: &e.pool, Addresses: e.controlAddresses(),
+		Clock: e.clock, Logger: e.logger, Pool: &e.pool, Addresses: controlAddresses(e.settings),
 		Self:           &wire.EntryStatus{EntryId: common.InstanceId, Address: setup.Advertised(common), FailureDomain: common.FailureDomain},
 		Configured:     func(v *wire.ConfigurationVersion) { e.calls.Configure(v) },
 		EntriesChanged: e.entriesChanged,
@@ -168,6 +184,7 @@
 	group.Go(func() error { e.relay.Run(background); return nil })
 	group.Go(func() error { e.share.run(background); return nil })
 	group.Go(func() error { e.sweep(background); return nil })
+	group.Go(func() error { e.followSettings(background); return nil })
 	served := make(chan error, 1)
 	go func() { served <- e.server.Serve(listener) }()
 	select {
--- a/internal/store/peers/found.go
+++ b/internal/store/peers/found.go
@@ -41,6 +41,7 @@
 	JoinOnly bool
 
 	mu         sync.Mutex
+	seeds      []*wire.ControlMember // added later; they found nothing
 	membership *wire.Membership
 	waiting    map[uint64]waitingReplica
 	known      map[uint64]*wire.ControlMember
@@ -58,6 +59,14 @@
 	f.membership = m
 }
 
+// AddSeeds adds replicas to ask about an existing cluster. They take no part in
+// founding one: who founds was settled by the first settings.
+func (f *Founder) AddSeeds(members []*wire.ControlMember) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = members
+}
+
 // Identify answers another replica and notes it if it waits to be let in.
 func (f *Founder) Identify(r *wire.IdentifyRequest) *wire.IdentifyResponse {
 	f.mu.Lock()
@@ -104,10 +113,13 @@
 
 func (f *Founder) tryFound(ctx context.Context) *wire.Membership {
 	founding := []*wire.ControlMember{voter(f.Self)}
-	for _, answer := range f.askFounders(ctx) {
+	answers := f.askFounders(ctx)
+	for _, answer := range append(answers, f.askSeeds(ctx)...) {
 		if answer.GetFounding() != nil {
 			return joining(answer.Founding, f.Self.ReplicaId)
 		}
+	}
+	for _, answer := range answers {
 		if answer != nil {
 			founding = append(founding, voter(answer.Self))
 		}
@@ -119,12 +131,17 @@
 	return &wire.Membership{Members: founding, ClusterId: clusterID(founding)}
 }
 
-// askFounders asks the founding members at once, since each silent one costs a
-// timeout; nil stands for those that didn't answer.
+// askFounders asks the founding members; nil stands for those that didn't
+// answer.
 func (f *Founder) askFounders(ctx context.Context) []*wire.IdentifyResponse {
-	answers := make([]*wire.IdentifyResponse, len(f.Members))
+	return f.askAll(ctx, f.Members)
+}
+
+// askAll asks at once, since each silent replica costs a timeout.
+func (f *Founder) askAll(ctx context.Context, members []*wire.ControlMember) []*wire.IdentifyResponse {
+	answers := make([]*wire.IdentifyResponse, len(members))
 	var asked sync.WaitGroup
-	for i, m := range f.Members {
+	for i, m := range members {
 		if m.Address != f.Self.Address {
 			asked.Go(func() { answers[i] = f.ask(ctx, m.Address) })
 		}
@@ -133,6 +150,14 @@
 	return answers
 }
 
+// askSeeds asks those whom later settings name, for an existing cluster.
+func (f *Founder) askSeeds(ctx context.Context) []*wire.IdentifyResponse {
+	f.mu.Lock()
+	seeds := f.seeds
+	f.mu.Unlock()
+	return f.askAll(ctx, seeds)
+}
+
 // founds tells whether this replica is one of the founding members. Others
 // join what those have founded.
 func (f *Founder) founds() bool {
@@ -168,6 +193,9 @@
 	for _, m := range f.Members {
 		add(m)
 	}
+	for _, m := range f.seeds {
+		add(m)
+	}
 	for _, m := range f.membership.GetMembers() {
 		add(m)
 	}
