--- a/internal/store/quorum/quorum_test.go
+++ b/internal/store/quorum/quorum_test.go
@@ -4,8 +4,10 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"sycamoredeck.example/internal/schema/wire"
@@ -39,18 +41,21 @@
 		{"network", 3, simFaults{cut: 0.02, heal: 0.01, drop: 0.05, duplicate: 0.02}},
 		{"snapshots", 3, simFaults{crash: 0.004, restart: 0.05, drop: 0.05, cut: 0.01, heal: 0.01, snapshot: 0.02}},
 		{"members", 3, simFaults{crash: 0.002, restart: 0.05, drop: 0.02, snapshot: 0.01, replace: 0.05}},
+		{"lost disks", 5, simFaults{crash: 0.002, restart: 0.1, cut: 0.01, heal: 0.02, drop: 0.02, snapshot: 0.01, replace: 0.1, wipe: 0.005}},
 		{"everything", 5, simFaults{crash: 0.003, restart: 0.05, cut: 0.02, heal: 0.01, drop: 0.05, duplicate: 0.02, snapshot: 0.02, replace: 0.03, handover: 0.01}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			operations := 0
+			operations, wiped := 0, 0
 			for seed := range uint64(seedsPerCase) {
 				s := newSim(seed, c.size, c.faults)
 				s.run(stepsPerSeed)
 				assertSound(t, seed, s)
 				operations += len(s.operations)
+				wiped += s.wiped
 			}
+			assert.Assert(t, c.faults.wipe == 0 || wiped > seedsPerCase/4, "only %d disks were lost", wiped)
 			assert.Assert(t, operations > seedsPerCase*10, "only %d operations: the schedules stop the cluster", operations)
 		})
 	}
@@ -228,6 +233,75 @@
 	assert.Equal(t, c.Status().Commit, uint64(2))
 }
 
+// recordBytes is the size of the records in the messages to one replica.
+func recordBytes(messages []*wire.PeerMessage, to uint64) int {
+	size := 0
+	for _, m := range messages {
+		if m.To != to {
+			continue
+		}
+		for _, r := range m.Records {
+			size += proto.Size(r)
+		}
+	}
+	return size
+}
+
+func bigCommand() *wire.Command {
+	return &wire.Command{Body: &wire.Command_Quarantine{Quarantine: &wire.Quarantine{Reason: strings.Repeat("x", 40<<10)}}}
+}
+
+// Symptom: a leader's memory grows by hundreds of megabytes within seconds and
+// the links are full, after a follower missed a moment. Sequence: one append is
+// lost; each of those behind it is refused, and each refusal has all records
+// since sent again. Cause: refusals that were under way already counted like
+// the first.
+func TestRefusalsOfOneLossResendOnce(t *testing.T) {
+	c := lead(t, nil)
+	c.Synced(c.Take())
+	c.Step(answer(2, c, 1))
+	c.Step(answer(3, c, 1))
+	c.Take()
+	const lost = 50
+	for range lost {
+		c.Propose([]*wire.Command{bigCommand()})
+		c.Synced(c.Take())
+	}
+	resent := 0
+	for i := range uint64(lost - 1) {
+		refusal := answer(2, c, 1)
+		refusal.Reject, refusal.AskedIndex = true, i+2
+		c.Step(refusal)
+		resent += recordBytes(c.Take().Early, 2)
+	}
+	accepted := answer(2, c, 1)
+	accepted.AskedIndex = 1
+	c.Step(accepted)
+	resent += recordBytes(c.Take().Early, 2)
+	assert.Assert(t, resent > 0, "nothing was sent again")
+	assert.Assert(t, resent < 2*lost*(41<<10), "%d bytes were sent again for %d bytes lost", resent, lost*(40<<10))
+}
+
+// Symptom: as above, while a follower is cut off and answers nothing. Cause: no
+// bound on the bytes that are under way to it.
+func TestBytesInFlightAreBounded(t *testing.T) {
+	c := lead(t, nil)
+	c.Synced(c.Take())
+	c.Step(answer(2, c, 1))
+	c.Take()
+	sent := 0
+	for i := range uint64(1000) {
+		c.Propose([]*wire.Command{bigCommand()})
+		out := c.Take()
+		c.Synced(out)
+		sent += recordBytes(out.Early, 3)
+		c.Step(answer(2, c, i+2))
+		c.Take()
+	}
+	assert.Assert(t, sent < 6<<20, "%d bytes are under way to a silent replica", sent)
+	assert.Equal(t, c.Status().Commit, uint64(1001))
+}
+
 func TestMembershipRefusals(t *testing.T) {
 	s := newTestCluster(t)
 	leader := leaderOf(t, s)
--- a/internal/store/quorum/sim_test.go
+++ b/internal/store/quorum/sim_test.go
@@ -18,6 +18,9 @@
 // simFaults are probabilities, per step unless said otherwise.
 type simFaults struct {
 	crash, restart, cut, heal, drop, duplicate, snapshot, replace, handover float64
+	// wipe loses a replica with its disk, for good; no further one until it is
+	// replaced.
+	wipe float64
 }
 
 type (
@@ -61,6 +64,7 @@
 		committed map[uint64]*wire.LogRecord
 		leaders   map[uint64]uint64 // term to replica
 		broken    []string
+		wiped     int
 
 		step       int64
 		operations []porcupine.Operation
@@ -190,6 +194,26 @@
 	if s.chance(s.faults.heal) {
 		clear(s.cuts)
 	}
+	if s.chance(s.faults.wipe) {
+		s.wipe()
+	}
+}
+
+// wipe loses a replica and its disk unless an earlier loss may still count: as
+// long as any replica, also one that is down, takes the lost one for a voter.
+func (s *sim) wipe() {
+	r := s.pick()
+	if r == nil || len(s.down) > 0 {
+		return
+	}
+	for _, other := range s.replicas {
+		if _, lost := s.lostForGood(other.core.Members().GetMembers()); lost {
+			return
+		}
+	}
+	s.crash(r)
+	delete(s.down, r.id)
+	s.wiped++
 }
 
 func (s *sim) crash(r *simReplica) {
@@ -380,17 +404,35 @@
 	}
 }
 
+// lostForGood returns a voter that surely never votes again: its disk is gone.
+func (s *sim) lostForGood(members []*wire.ControlMember) (uint64, bool) {
+	for _, m := range members {
+		_, asleep := s.down[m.ReplicaId]
+		if m.Voter && !asleep && s.replicas[m.ReplicaId] == nil {
+			return m.ReplicaId, true
+		}
+	}
+	return 0, false
+}
+
 // changeMembers takes the next step of replacing a random member by a new
-// replica, as the operator's command does. Refusals are part of it.
+// replica, as the operator's command does, or in one step the place of one
+// whose disk is gone. Refusals are part of it.
 func (s *sim) changeMembers(r *simReplica) {
 	members := r.core.Members().Members
 	for _, m := range members {
-		if !m.Voter {
-			_ = r.core.Promote(m.ReplicaId)
+		if m.Voter {
+			continue
+		}
+		if old, ok := s.lostForGood(members); ok {
+			_ = r.core.Replace(old, m.ReplicaId)
 			return
 		}
+		_ = r.core.Promote(m.ReplicaId)
+		return
 	}
-	if len(members) < 5 && s.chance(0.6) {
+	_, lost := s.lostForGood(members)
+	if lost || len(members) < 5 && s.chance(0.6) {
 		id := s.nextID
 		if r.core.AddLearner(&wire.ControlMember{ReplicaId: id}) == nil {
 			s.nextID++
@@ -398,7 +440,7 @@
 		}
 		return
 	}
-	if len(members) > 3 {
+	if len(members) > 3 && s.faults.wipe == 0 {
 		_ = r.core.Remove(members[s.random.IntN(len(members))].ReplicaId)
 	}
 }
