--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -39,10 +40,19 @@
 
 var replaced = metrics.NewCounter("sycamoredeck_link_replaced_total")
 
+// Options are the same for all links of a process. The zero value is usable.
+type Options struct {
+	// Traced makes calls hops of traces.
+	Traced bool
+	// Source is the IP number that connections are opened from; the system's
+	// choice when empty.
+	Source string
+}
+
 // Link is a connection to one address that is replaced when it goes silent.
 type Link struct {
 	address string
-	traced  bool
+	options Options
 	cancel  context.CancelFunc
 	done    chan struct{}
 
@@ -51,14 +61,13 @@
 }
 
 // Dial starts supervising a connection to address. It doesn't wait for it.
-// Traced makes its calls hops of traces.
-func Dial(address string, traced bool) (*Link, error) {
-	conn, err := connect(address, traced)
+func Dial(address string, options Options) (*Link, error) {
+	conn, err := connect(address, options)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &Link{address: address, traced: traced, cancel: cancel, done: make(chan struct{}), conn: conn}
+	l := &Link{address: address, options: options, cancel: cancel, done: make(chan struct{}), conn: conn}
 	go l.watch(ctx)
 	return l, nil
 }
@@ -108,7 +117,7 @@
 }
 
 func (l *Link) replace() {
-	conn, err := connect(l.address, l.traced)
+	conn, err := connect(l.address, l.options)
 	if err != nil {
 		return
 	}
@@ -120,19 +129,20 @@
 	replaced.Inc()
 }
 
-func connect(address string, traced bool) (*grpc.ClientConn, error) {
-	options := []grpc.DialOption{
+func connect(address string, options Options) (*grpc.ClientConn, error) {
+	dial := []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: 500 * time.Millisecond},
 			MinConnectTimeout: time.Second,
 		}),
+		grpc.WithContextDialer(options.dial),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.MaxCallSendMsgSize(MaxMessageBytes)),
 	}
-	if traced {
-		options = append(options, grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(isHop))))
+	if options.Traced {
+		dial = append(dial, grpc.WithStatsHandler(otelgrpc.NewClientHandler(otelgrpc.WithFilter(isHop))))
 	}
-	conn, err := grpc.NewClient("passthrough:///"+address, options...)
+	conn, err := grpc.NewClient("passthrough:///"+address, dial...)
 	if err != nil {
 		return nil, err
 	}
@@ -140,10 +150,19 @@
 	return conn, nil
 }
 
+// dial opens a connection.
+func (o Options) dial(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{}
+	if ip := net.ParseIP(o.Source); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // Pool holds one Link for each address. The zero value is empty and ready.
 type Pool struct {
-	// Traced makes calls on new links hops of traces.
-	Traced bool
+	// Options are those of new links.
+	Options Options
 
 	mu     sync.Mutex
 	links  map[string]*Link
@@ -160,7 +179,7 @@
 	if l := p.links[address]; l != nil {
 		return l.Conn(), nil
 	}
-	l, err := Dial(address, p.Traced)
+	l, err := Dial(address, p.Options)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/base/setup/check.go
+++ b/internal/base/setup/check.go
@@ -65,6 +65,8 @@
 	case wire.Form_FORM_MEMBER:
 		name, address, ok := strings.Cut(text, "=")
 		return ok && NamePattern.MatchString(name) && addressOK(address)
+	case wire.Form_FORM_IP:
+		return net.ParseIP(text) != nil
 	default:
 		return true
 	}
@@ -89,6 +91,8 @@
 		return "IP:PORT or localhost:PORT"
 	case r.Form == wire.Form_FORM_NAME:
 		return "1 to 64 of a-z, 0-9 and '-'"
+	case r.Form == wire.Form_FORM_IP:
+		return "an IP number"
 	case r.Form == wire.Form_FORM_MEMBER:
 		return "NAME=IP:PORT, separated by commas"
 	case field.Kind() == protoreflect.MessageKind:
--- a/internal/base/setup/setup.go
+++ b/internal/base/setup/setup.go
@@ -154,22 +154,13 @@
 }
 
 func (b *Binder) load(name string, o *option, fromFile map[string]string) error {
-	text := *o.value
-	if !b.flags.Changed(name) {
-		text = o.rule.Fallback
-		if value, ok := fromFile[name]; ok {
-			text = value
-		}
-		if fromEnv, ok := b.LookupEnv(variable(name)); ok {
-			text = fromEnv
-		}
-	}
+	text := b.text(name, fromFile)
 	field := o.path[len(o.path)-1]
 	if text == "" {
-		if o.rule.Required {
-			return &Error{Setting: name, Value: "", Allowed: "a value; " + o.rule.Help}
+		if !o.rule.Required || b.text(o.rule.Unless, fromFile) != "" {
+			return nil
 		}
-		return nil
+		return &Error{Setting: name, Value: "", Allowed: "a value; " + o.rule.Help}
 	}
 	target := b.message.ProtoReflect()
 	for _, step := range o.path[:len(o.path)-1] {
@@ -186,6 +177,25 @@
 	return nil
 }
 
+// text is what is said of a setting: by its flag, its variable, the settings
+// file, or its fallback; empty when nothing is, or there is no such setting.
+func (b *Binder) text(name string, fromFile map[string]string) string {
+	o := b.options[name]
+	if o == nil {
+		return ""
+	}
+	if b.flags.Changed(name) {
+		return *o.value
+	}
+	if fromEnv, ok := b.LookupEnv(variable(name)); ok {
+		return fromEnv
+	}
+	if value, ok := fromFile[name]; ok {
+		return value
+	}
+	return o.rule.Fallback
+}
+
 func setList(target protoreflect.Message, name string, field protoreflect.FieldDescriptor, r *wire.Rule, text string) error {
 	list := target.Mutable(field).List()
 	for _, part := range strings.Split(text, ",") {
--- a/internal/itest/cluster_test.go
+++ b/internal/itest/cluster_test.go
@@ -149,14 +149,14 @@
 		"--listen-address", c.own[name], "--advertise-address", c.address[name],
 		"--data-folder", filepath.Join(c.folder, name), "--founding-members", strings.Join(members, ","),
 		"--heartbeat-interval", "50ms", "--election-timeout", "400ms", "--worker-lease", lease.String(),
-		"--snapshot-records", "200", "--drain-timeout", "10s",
+		"--snapshot-records", "200", "--drain-timeout", "10s", "--source-address", c.mesh.source(name),
 	}
 }
 
 func (c *cluster) entryCommand(name string) []string {
 	return []string{
 		"sycamoredeck", "entry", "--instance-id", name, "--failure-domain", "fd-" + name,
-		"--listen-address", c.own[name], "--advertise-address", c.address[name],
+		"--listen-address", c.own[name], "--advertise-address", c.address[name], "--source-address", c.mesh.source(name),
 		"--control-addresses", c.addresses(c.controls), "--drain-delay", "500ms",
 	}
 }
@@ -199,13 +199,13 @@
 	assert.NilError(c.t, err)
 	p.cmd.Stdout, p.cmd.Stderr = out, log
 	p.cmd.Env = []string{"HOME=" + c.folder}
+	// A test run that is killed must not leave processes behind, which would
+	// go on loading the machine for the next one.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	assert.NilError(c.t, p.cmd.Start())
 	c.mu.Lock()
 	c.processes[name] = p
 	c.mu.Unlock()
-	c.mesh.mu.Lock()
-	c.mesh.pids[name] = p.cmd.Process.Pid
-	c.mesh.mu.Unlock()
 	go func() {
 		_ = p.cmd.Wait()
 		out.Close()
@@ -259,8 +259,10 @@
 	}
 	if c.t.Failed() {
 		for name := range c.processes {
-			log, _ := os.ReadFile(filepath.Join(c.folder, name+".log"))
-			c.t.Logf("log of %s:\n%s", name, log[max(0, len(log)-3000):])
+			for _, kind := range []string{".log", ".out"} {
+				log, _ := os.ReadFile(filepath.Join(c.folder, name+kind))
+				c.t.Logf("%s%s:\n%s", name, kind, log[max(0, len(log)-3000):])
+			}
 		}
 	}
 }
--- a/internal/itest/proxy_test.go
+++ b/internal/itest/proxy_test.go
@@ -5,9 +5,6 @@
 import (
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -18,12 +15,12 @@
 const holdPoll = 5 * time.Millisecond
 
 type (
-	// mesh stands between all processes. It knows who opened a connection by
-	// the process that owns the other end, so that faults can be set for
-	// pairs though all reach a process by one address.
+	// mesh stands between all processes. Each opens its connections from an IP
+	// number of its own, by which the mesh knows who opened one, so that faults
+	// can be set for pairs though all reach a process by one address.
 	mesh struct {
 		mu    sync.Mutex
-		pids  map[string]int
+		names map[string]string  // by IP number
 		cuts  map[[2]string]bool // from opener to target; holds both ways
 		delay time.Duration
 		conns map[*pipe]bool
@@ -39,7 +36,7 @@
 )
 
 func newMesh() *mesh {
-	return &mesh{pids: map[string]int{}, cuts: map[[2]string]bool{}, conns: map[*pipe]bool{}}
+	return &mesh{names: map[string]string{}, cuts: map[[2]string]bool{}, conns: map[*pipe]bool{}}
 }
 
 // listen puts a proxy before a target and returns the proxy's address.
@@ -146,34 +143,24 @@
 	return len(m.conns)
 }
 
-// openerOf finds the process at the other end of a connection.
-func (m *mesh) openerOf(conn net.Conn) string {
-	inode := socketInode(conn.RemoteAddr().(*net.TCPAddr).Port)
+// source gives a process the IP number that it opens connections from.
+func (m *mesh) source(name string) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for name, pid := range m.pids {
-		links, _ := filepath.Glob(fmt.Sprintf("/proc/%d/fd/*", pid))
-		for _, l := range links {
-			if target, err := os.Readlink(l); err == nil && target == "socket:["+inode+"]" {
-				return name
-			}
+	for ip, known := range m.names {
+		if known == name {
+			return ip
 		}
 	}
-	return ""
+	ip := fmt.Sprintf("127.0.1.%d", len(m.names)+1)
+	m.names[ip] = name
+	return ip
 }
 
-// socketInode finds the inode of the local socket that is bound to a port.
-func socketInode(port int) string {
-	data, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	suffix := fmt.Sprintf(":%04X", port)
-	for _, line := range strings.Split(string(data), "\n") {
-		fields := strings.Fields(line)
-		if len(fields) > 9 && strings.HasSuffix(fields[1], suffix) && fields[3] == "01" {
-			return fields[9]
-		}
-	}
-	return ""
+// openerOf tells which process opened a connection; empty for those that the
+// mesh gave no IP number.
+func (m *mesh) openerOf(conn net.Conn) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.names[conn.RemoteAddr().(*net.TCPAddr).IP.String()]
 }
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -162,6 +162,7 @@
 		}
 	}
 	common := c.settings.Common
+	c.pool.Options = link.Options{Traced: common.TraceEndpoint != "", Source: common.SourceAddress}
 	c.self = &wire.ControlMember{Name: common.InstanceId, Address: setup.Advertised(common), ReplicaId: durable.Vote.ReplicaId}
 	c.founder = &peers.Founder{Self: c.self, Pool: &c.pool, JoinOnly: c.settings.FirstStart == "false"}
 	for _, text := range c.settings.FoundingMembers {
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -134,7 +134,7 @@
 
 func (e *Entry) build() {
 	common := e.settings.Common
-	e.pool.Traced = common.TraceEndpoint != ""
+	e.pool.Options = link.Options{Traced: common.TraceEndpoint != "", Source: common.SourceAddress}
 	e.divider.Store(&slots.Divider{})
 	e.uplink = uplink.New(uplink.Options{
 		Clock: e.clock, Logger: e.logger, Pool: &e.pool, Addresses: controlAddresses(e.settings),
@@ -159,7 +159,7 @@
 	})
 	e.relay = relay.New(common.InstanceId, e.uplink, e.clock, e.logger)
 	e.share = &sharer{entry: e}
-	e.server, e.health = link.NewServer(int(e.settings.MaxPayloadBytes)+messageOverhead, e.pool.Traced)
+	e.server, e.health = link.NewServer(int(e.settings.MaxPayloadBytes)+messageOverhead, e.pool.Options.Traced)
 	wire.RegisterCallerServiceServer(e.server, e.calls)
 	wire.RegisterWorkerServiceServer(e.server, e.relay)
 	wire.RegisterAnnounceServiceServer(e.server, &announceService{Entry: e})
