--- /dev/null
+++ b/internal/sched/drive/drive_test.go
@@ -0,0 +1,89 @@
+// This file defines the tests of the engine under seeded faults.
+
+package drive_test
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// seedsPerCase is how many schedules CI plays of each case. More are played by
+// hand with SYCAMOREDECK_SEEDS.
+var seedsPerCase = seedCount(60)
+
+func seedCount(usual int) int {
+	if n, err := strconv.Atoi(os.Getenv("SYCAMOREDECK_SEEDS")); err == nil {
+		return n
+	}
+	return usual
+}
+
+// assertSettled lets all faults end, and then every job must reach its end and
+// every standing task must run.
+func assertSettled(t *testing.T, seed uint64, s *sim) {
+	t.Helper()
+	s.calm()
+	s.run(60*time.Second, 0)
+	assert.Assert(t, len(s.broken) == 0, "seed %d: %v", seed, s.broken)
+	for _, id := range s.jobs {
+		j := s.graph.Job(id)
+		if j.Ended() {
+			continue
+		}
+		standing := j.Spec.Steps[0].Standing
+		assert.Assert(t, standing, "seed %d: job %s is %v after all faults ended", seed, id, j.State)
+		for _, task := range j.Occurrences[0][0].Tasks {
+			running := false
+			for _, r := range s.runners {
+				running = running || r.runs[taskKey(task.ID())] != nil
+			}
+			assert.Assert(t, running, "seed %d: standing task %s runs nowhere", seed, taskKey(task.ID()))
+		}
+	}
+}
+
+// Symptom: a task runs twice, a job never ends, a runner is committed beyond
+// its room. Sequence: orders are carried out seconds late or without an answer;
+// runners crash, are cut off, leave and come back at the same address; leaders
+// change while orders and commits are under way; jobs are cancelled; clocks go
+// slow. Cause, where it fails: an end that was taken for certain and wasn't, or
+// one that was never settled.
+func TestEngineUnderFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		guarded bool
+		faults  faults
+	}{
+		{"calm", true, faults{fail: 0.02}},
+		{"late orders", true, faults{late: 0.05, lost: 0.05, fail: 0.02}},
+		{"late orders, unguarded", false, faults{late: 0.05, lost: 0.05, fail: 0.02}},
+		{"crashes", true, faults{crash: 0.004, cut: 0.004, fail: 0.02}},
+		{"leaders", true, faults{leader: 0.002, late: 0.03, lost: 0.03, fail: 0.02}},
+		{"leaving", true, faults{leave: 0.002, cancel: 0.003, fail: 0.02}},
+		{"everything", true, faults{leader: 0.001, late: 0.03, lost: 0.03, crash: 0.002, cut: 0.003, leave: 0.001, cancel: 0.002, fail: 0.02, failing: 0.1}},
+		{"everything, unguarded", false, faults{leader: 0.001, late: 0.03, lost: 0.03, crash: 0.002, cut: 0.003, leave: 0.001, cancel: 0.002, fail: 0.02, failing: 0.1}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			done := 0
+			for seed := range uint64(seedsPerCase) {
+				s := newSim(seed, 6, c.guarded, c.faults)
+				s.run(30*time.Second, 1)
+				assertSettled(t, seed, s)
+				for _, id := range s.jobs {
+					if s.graph.Job(id).State == wire.WorkState_WORK_STATE_COMPLETED {
+						done++
+					}
+				}
+			}
+			assert.Assert(t, done > seedsPerCase*5, "only %d jobs were completed", done)
+		})
+	}
+}
--- /dev/null
+++ b/internal/sched/drive/model_test.go
@@ -0,0 +1,203 @@
+// This file defines the model of runners that the engine is tested against.
+
+package drive_test
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamoredeck.example/internal/sched/drive"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+const (
+	modelLease    = 9 * time.Second
+	modelMaxLease = 10 * time.Second
+	modelGrace    = 900 * time.Millisecond
+)
+
+type (
+	// modelRun is a run that exists on a model runner.
+	modelRun struct {
+		id       *wire.RunId
+		step     *wire.Step
+		work     time.Duration // done so far
+		length   time.Duration
+		fails    bool
+		stopping time.Duration // when a stop ends it; 0 for none
+	}
+
+	// modelRunner is one incarnation of a worker, by the rules that the
+	// platform's runners keep.
+	modelRunner struct {
+		sim      *sim
+		record   *wire.Runner
+		offset   time.Duration
+		rate     float64
+		fence    uint64
+		deadline time.Duration
+		runs     map[string]*modelRun
+		closed   map[string]uint32 // highest run stopped or ended, by task
+		ends     []drive.RunReport
+		number   uint64
+		waiting  []waitingHold
+		cutUntil time.Duration
+		failing  bool
+		sequence uint64
+		nextBeat time.Duration
+	}
+
+	// waitingHold is a hold whose answer waits for an end.
+	waitingHold struct {
+		order drive.Order
+		until time.Duration
+		reply func(drive.Answer)
+	}
+)
+
+func taskKey(id *wire.RunId) string {
+	return fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index)
+}
+
+func (r *modelRunner) clock() time.Duration {
+	return r.offset + time.Duration(float64(r.sim.now)*r.rate)
+}
+
+func (r *modelRunner) cut() bool { return r.sim.now < r.cutUntil }
+
+// handle carries an order out.
+func (r *modelRunner) handle(o drive.Order) drive.Answer {
+	a := drive.Answer{Order: o, Verdict: drive.Accepted, ClockKnown: true, Clock: r.clock()}
+	if o.Runner.Id != r.record.Id {
+		return drive.Answer{Order: o, Verdict: drive.OtherIncarnation}
+	}
+	if o.Fence < r.fence {
+		a.Verdict = drive.RefusedFence
+		return a
+	}
+	r.fence = o.Fence
+	switch o.Kind {
+	case drive.Hold:
+		r.extend(o.Deadline)
+		for len(r.ends) > 0 && r.ends[0].Number <= o.LastSeen {
+			r.sim.noted(r.ends[0])
+			r.ends = r.ends[1:]
+		}
+		r.list(&a)
+	case drive.Start:
+		a.Verdict = r.start(o)
+	case drive.Stop:
+		r.stop(o.Run)
+	case drive.Pace:
+	}
+	return a
+}
+
+func (r *modelRunner) list(a *drive.Answer) {
+	for _, key := range r.keys() {
+		run := r.runs[key]
+		percent := min(int(100*run.work/max(run.length, 1)), 100)
+		a.Running = append(a.Running, drive.RunStatus{Run: run.id, Percent: percent, Checkpoint: "saved"})
+	}
+	a.Ended = append(a.Ended, r.ends...)
+}
+
+func (r *modelRunner) extend(deadline time.Duration) {
+	r.deadline = max(r.deadline, min(deadline, r.clock()+modelMaxLease))
+}
+
+func (r *modelRunner) start(o drive.Order) drive.Verdict {
+	key := taskKey(o.Run)
+	if o.Deadline < r.clock() {
+		return drive.RefusedLate
+	}
+	if run := r.runs[key]; run != nil && run.id.Run == o.Run.Run {
+		r.extend(o.Deadline)
+		return drive.Accepted
+	}
+	r.extend(o.Deadline)
+	if o.Run.Run <= r.closed[key] {
+		return drive.RefusedOld
+	}
+	step := r.sim.steps[fmt.Sprintf("%s.%d", o.Run.Job, o.Run.Step)]
+	if r.committed()+step.CpuMillis > r.record.CpuMillis {
+		r.sim.check(r.sim.guarded, "%s is committed beyond its room by %s", r.record.Id, key)
+		return drive.RefusedRoom
+	}
+	r.sim.began(r, o)
+	length := time.Duration(step.EstimateMs) * time.Millisecond
+	r.runs[key] = &modelRun{
+		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length,
+		fails: r.failing || r.sim.random.Float64() < r.sim.faults.fail,
+	}
+	return drive.Accepted
+}
+
+func (r *modelRunner) committed() uint64 {
+	var sum uint64
+	for _, run := range r.runs {
+		sum += run.step.CpuMillis
+	}
+	return sum
+}
+
+func (r *modelRunner) stop(id *wire.RunId) {
+	key := taskKey(id)
+	r.closed[key] = max(r.closed[key], id.Run)
+	if run := r.runs[key]; run != nil && run.id.Run <= id.Run && run.stopping == 0 {
+		run.stopping = r.sim.now + time.Duration(r.sim.random.Int64N(int64(modelGrace)))
+	}
+}
+
+// tick lets time go by for what runs.
+func (r *modelRunner) tick(step time.Duration) {
+	if len(r.runs) > 0 && r.clock() > r.deadline {
+		for _, key := range r.keys() {
+			r.end(key, wire.RunOutcome_RUN_OUTCOME_LAPSED)
+		}
+	}
+	for _, key := range r.keys() {
+		run := r.runs[key]
+		run.work += step
+		switch {
+		case run.stopping != 0 && r.sim.now >= run.stopping:
+			r.end(key, wire.RunOutcome_RUN_OUTCOME_STOPPED)
+		case run.fails && run.work > run.length/2:
+			r.end(key, wire.RunOutcome_RUN_OUTCOME_FAILED)
+		case run.work >= run.length && !run.step.Standing:
+			r.end(key, wire.RunOutcome_RUN_OUTCOME_DONE)
+		}
+	}
+	kept := r.waiting[:0]
+	for _, w := range r.waiting {
+		if len(r.ends) == 0 && r.sim.now < w.until {
+			kept = append(kept, w)
+			continue
+		}
+		if a := r.handle(w.order); !r.cut() {
+			w.reply(a)
+		}
+	}
+	r.waiting = kept
+}
+
+func (r *modelRunner) end(key string, outcome wire.RunOutcome) {
+	run := r.runs[key]
+	delete(r.runs, key)
+	r.closed[key] = max(r.closed[key], run.id.Run)
+	r.number++
+	r.ends = append(r.ends, drive.RunReport{Number: r.number, Run: run.id, Outcome: outcome, Checkpoint: "saved"})
+	r.sim.ended(run, outcome)
+}
+
+func (r *modelRunner) keys() []string {
+	keys := make([]string, 0, len(r.runs))
+	for key := range r.runs {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/sched/drive/sim_test.go
@@ -0,0 +1,402 @@
+// This file defines the seeded simulation of an engine, its leaders and its
+// runners.
+
+package drive_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"sycamoredeck.example/internal/sched/drive"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+	"sycamoredeck.example/internal/store/state"
+)
+
+const (
+	simTick       = 10 * time.Millisecond
+	simBeat       = 1100 * time.Millisecond
+	answerTimeout = 600 * time.Millisecond
+	commitTime    = 10 * time.Millisecond
+)
+
+// faults are probabilities; those without another unit are for each tick.
+type faults struct {
+	late, lost     float64 // of each order
+	fail           float64 // of each run
+	crash, cut     float64
+	leader, cancel float64
+	leave          float64
+	failing        float64 // of each incarnation
+}
+
+type (
+	event struct {
+		at  time.Duration
+		seq int
+		do  func()
+	}
+
+	proposal struct {
+		command *wire.Command
+		done    func(state.Result, error)
+		term    uint64
+	}
+
+	// sim plays one engine after another against model runners. Every step is
+	// drawn from one seed.
+	sim struct {
+		random     *rand.Rand
+		faults     faults
+		guarded    bool
+		now        time.Duration
+		events     []event
+		seq        int
+		graph      *graph.Graph
+		engine     *drive.Engine
+		term       uint64
+		leads      bool
+		log        []proposal
+		runners    map[string]*modelRunner // by address
+		lives      int
+		steps      map[string]*wire.Step
+		jobs       []string
+		quiet      bool // no faults any more
+		quietSince time.Duration
+
+		doneNoted map[string]bool
+		failures  map[string]int
+		cancelled map[string]time.Duration
+		completed map[string]bool
+		broken    []string
+	}
+)
+
+func newSim(seed uint64, size int, guarded bool, f faults) *sim {
+	s := &sim{
+		random: rand.New(rand.NewPCG(seed, 11)), faults: f, guarded: guarded, graph: graph.New(),
+		runners: map[string]*modelRunner{}, steps: map[string]*wire.Step{}, doneNoted: map[string]bool{},
+		failures: map[string]int{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
+	}
+	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_PutCatalog{PutCatalog: &wire.Catalog{
+		Version: 1,
+		Queues:  []*wire.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 2}},
+		Pools:   []*wire.WorkerPool{{Name: "p", Guarded: guarded}},
+	}}})
+	for i := range size {
+		s.bear(fmt.Sprintf("10.0.0.%d:1", i))
+	}
+	s.elect()
+	return s
+}
+
+func (s *sim) check(ok bool, format string, args ...any) {
+	if !ok {
+		s.broken = append(s.broken, fmt.Sprintf("at %v: ", s.now)+fmt.Sprintf(format, args...))
+	}
+}
+
+func (s *sim) chance(p float64) bool { return !s.quiet && s.random.Float64() < p }
+
+func (s *sim) after(d time.Duration, do func()) {
+	s.seq++
+	s.events = append(s.events, event{s.now + d, s.seq, do})
+}
+
+func (s *sim) commit(c *wire.WorkCommand) graph.Result {
+	return s.graph.Apply(time.Unix(0, 0).Add(s.now), c)
+}
+
+// bear starts a new incarnation at an address.
+func (s *sim) bear(address string) {
+	s.lives++
+	s.runners[address] = &modelRunner{
+		sim: s, offset: time.Duration(s.random.Int64N(int64(time.Hour))), rate: 1 - 0.02*s.random.Float64(),
+		record: &wire.Runner{Id: fmt.Sprintf("r-%d", s.lives), Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000},
+		runs:   map[string]*modelRun{}, closed: map[string]uint32{}, failing: s.chance(s.faults.failing),
+	}
+}
+
+// elect makes a new leader, whose engine knows the replicated state alone.
+func (s *sim) elect() {
+	s.term++
+	term := s.term
+	s.leads = true
+	s.engine = drive.New(drive.Options{
+		Graph: s.graph, Lease: modelLease, StopGrace: modelGrace,
+		Propose: func(c *wire.Command, done func(state.Result, error)) {
+			s.log = append(s.log, proposal{c, done, term})
+			s.after(commitTime, s.commitNext)
+		},
+		Leads:  func() (uint64, bool) { return term, s.leads && s.term == term },
+		Send:   s.carry,
+		Wall:   func() time.Time { return time.Unix(0, 0).Add(s.now) },
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+}
+
+// depose ends a leadership. What it proposed may have been committed or not.
+func (s *sim) depose() {
+	s.leads = false
+	kept := s.log
+	s.log = nil
+	for i, p := range kept {
+		if s.random.IntN(2) == 0 && i == 0 {
+			s.commit(p.command.GetWork())
+		}
+	}
+	s.engine.Turn(s.now)
+	s.after(time.Duration(s.random.Int64N(int64(3*time.Second)))+time.Second, s.elect)
+}
+
+func (s *sim) commitNext() {
+	if len(s.log) == 0 {
+		return
+	}
+	p := s.log[0]
+	s.log = s.log[1:]
+	p.command.At = timestamppb.New(time.Unix(0, 0).Add(s.now))
+	// What is committed comes from the log, not from the proposer's memory.
+	command := proto.Clone(p.command).(*wire.Command)
+	res := s.commit(command.GetWork())
+	p.done(state.Result{Err: res.Err, Placed: res.Placed}, nil)
+}
+
+// carry takes an order to its runner: at once, seconds late, or with its
+// answer lost.
+func (s *sim) carry(o drive.Order) {
+	engine := s.engine
+	timeout := answerTimeout + o.Wait
+	answered := false
+	answer := func(a drive.Answer) {
+		if !answered {
+			answered = true
+			engine.Answered(s.now, a)
+		}
+	}
+	s.after(timeout, func() { answer(drive.Answer{Order: o, Verdict: drive.NoAnswer}) })
+	deliver := func(reply func(drive.Answer)) {
+		r := s.runners[o.Runner.Address]
+		if r == nil || r.cut() {
+			return
+		}
+		if o.Kind == drive.Hold && o.Wait > 0 && len(r.ends) == 0 && o.Runner.Id == r.record.Id && o.Fence >= r.fence {
+			r.handle(o)
+			if len(r.ends) == 0 {
+				r.waiting = append(r.waiting, waitingHold{o, s.now + o.Wait, reply})
+				return
+			}
+		}
+		a := r.handle(o)
+		if !r.cut() {
+			reply(a)
+		}
+	}
+	nothing := func(drive.Answer) {}
+	switch {
+	case s.chance(s.faults.late):
+		s.after(2*time.Second+time.Duration(s.random.Int64N(int64(10*time.Second))), func() { deliver(nothing) })
+	case s.chance(s.faults.lost):
+		s.after(time.Millisecond, func() { deliver(nothing) })
+	default:
+		s.after(time.Millisecond, func() { deliver(func(a drive.Answer) { s.after(time.Millisecond, func() { answer(a) }) }) })
+	}
+}
+
+// began checks a start against all promises.
+func (s *sim) began(on *modelRunner, o drive.Order) {
+	key := taskKey(o.Run)
+	for _, r := range s.runners {
+		if r.runs[key] != nil {
+			s.check(false, "%s run %d begins on %s while run %d is on %s", key, o.Run.Run, on.record.Id, r.runs[key].id.Run, r.record.Id)
+		}
+	}
+	s.check(!s.doneNoted[key], "%s begins after its end was noted", key)
+	s.check(s.failures[key] < 3, "%s begins after %d failures", key, s.failures[key])
+	step := s.steps[fmt.Sprintf("%s.%d", o.Run.Job, o.Run.Step)]
+	for _, before := range step.After {
+		earlier := s.graph.Job(o.Run.Job).Occurrences[o.Run.Occurrence][before]
+		for _, t := range earlier.Tasks {
+			s.check(t.Done, "%s begins before step %d is done", key, before)
+		}
+	}
+	if at, ok := s.cancelled[o.Run.Job]; ok && o.SentAt > at {
+		s.check(false, "%s is ordered %v after its job was cancelled", key, o.SentAt-at)
+	}
+	if step.SpreadLimit > 0 {
+		beside := 0
+		for _, run := range on.runs {
+			if run.id.Job == o.Run.Job && run.id.Step == o.Run.Step {
+				beside++
+			}
+		}
+		s.check(beside < int(step.SpreadLimit), "%s is beside %d of its step", key, beside)
+	}
+}
+
+// noted is called when an end is acknowledged to its runner.
+func (s *sim) noted(r drive.RunReport) {
+	if r.Outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
+		s.doneNoted[taskKey(r.Run)] = true
+		t := s.graph.Find(r.Run)
+		s.check(t == nil || t.Done, "the end of %s is acknowledged before it is kept", taskKey(r.Run))
+	}
+	if r.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED && !s.steps[fmt.Sprintf("%s.%d", r.Run.Job, r.Run.Step)].Standing {
+		s.failures[taskKey(r.Run)]++
+	}
+}
+
+func (s *sim) ended(run *modelRun, outcome wire.RunOutcome) {
+	if s.quiet && s.now > s.quietSince+modelMaxLease+time.Second && outcome == wire.RunOutcome_RUN_OUTCOME_LAPSED {
+		s.check(false, "%s lapses though nothing is wrong", taskKey(run.id))
+	}
+}
+
+// calm ends all faults.
+func (s *sim) calm() {
+	s.quiet, s.quietSince, s.faults = true, s.now, faults{}
+	for _, r := range s.runners {
+		r.failing, r.cutUntil = false, 0
+	}
+}
+
+// submit hands in a random job.
+func (s *sim) submit() {
+	id := fmt.Sprintf("%016x", len(s.jobs)+1)
+	spec := &wire.WorkSpec{Payload: "p"}
+	for i := range 1 + s.random.IntN(3) {
+		step := &wire.Step{
+			Count: uint32(1 + s.random.IntN(4)), CpuMillis: uint64(1000 + s.random.IntN(2000)), MemoryMb: 100,
+			EstimateMs: uint64(200 + s.random.IntN(3000)), Checkpointable: s.random.IntN(2) == 0,
+		}
+		if i > 0 {
+			step.After = []uint32{uint32(s.random.IntN(i))}
+		}
+		if s.random.IntN(4) == 0 {
+			step.SpreadLimit = 1
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	if s.random.IntN(5) == 0 {
+		// Longer than a lease: still at work when its runner is given up.
+		spec.Steps[0].EstimateMs = 14000
+	}
+	if s.random.IntN(8) == 0 {
+		spec.Steps = []*wire.Step{{Count: 2, CpuMillis: 1000, MemoryMb: 100, EstimateMs: 500, Standing: true}}
+	}
+	for i, step := range spec.Steps {
+		s.steps[fmt.Sprintf("%s.%d", id, i)] = step
+	}
+	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: id, Queue: "q", Spec: spec}}})
+	s.jobs = append(s.jobs, id)
+}
+
+func (s *sim) disturb() {
+	addresses := make([]string, 0, len(s.runners))
+	for a := range s.runners {
+		addresses = append(addresses, a)
+	}
+	sort.Strings(addresses)
+	pick := func() *modelRunner { return s.runners[addresses[s.random.IntN(len(addresses))]] }
+	if len(addresses) > 0 && s.chance(s.faults.crash) {
+		r := pick()
+		delete(s.runners, r.record.Address)
+		s.after(time.Second+time.Duration(s.random.Int64N(int64(3*time.Second))), func() { s.bear(r.record.Address) })
+	}
+	if len(s.runners) > 0 && len(addresses) == len(s.runners) {
+		if s.chance(s.faults.cut) {
+			pick().cutUntil = s.now + time.Duration(s.random.Int64N(int64(14*time.Second)))
+		}
+		if s.chance(s.faults.leave) {
+			s.leave(pick())
+		}
+	}
+	if s.leads && s.chance(s.faults.leader) {
+		s.depose()
+	}
+	if len(s.jobs) > 0 && s.chance(s.faults.cancel) {
+		id := s.jobs[s.random.IntN(len(s.jobs))]
+		s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: id}}})
+		if s.graph.Job(id).State == wire.WorkState_WORK_STATE_CANCELLED && s.cancelled[id] == 0 {
+			s.cancelled[id] = s.now
+		}
+	}
+}
+
+// leave has a runner drain, go, and come back as another.
+func (s *sim) leave(r *modelRunner) {
+	r.record = proto.Clone(r.record).(*wire.Runner)
+	r.record.Leaving = true
+	s.after(4*time.Second, func() {
+		if s.runners[r.record.Address] == r {
+			delete(s.runners, r.record.Address)
+			s.report(r, true)
+			s.after(time.Second, func() { s.bear(r.record.Address) })
+		}
+	})
+}
+
+func (s *sim) report(r *modelRunner, gone bool) {
+	if r.cut() {
+		return
+	}
+	r.sequence++
+	s.engine.Reported(s.now, &wire.ReportRunnerRequest{
+		Runner: proto.Clone(r.record).(*wire.Runner), Sequence: r.sequence, Gone: gone,
+	}, func(error) {})
+}
+
+// run plays for a time.
+func (s *sim) run(length time.Duration, jobsPerSecond float64) {
+	for end := s.now + length; s.now < end; {
+		s.now += simTick
+		if s.random.Float64() < jobsPerSecond*simTick.Seconds() {
+			s.submit()
+		}
+		s.disturb()
+		s.happen()
+		for _, address := range sortedKeys(s.runners) {
+			r := s.runners[address]
+			r.tick(simTick)
+			if s.now >= r.nextBeat {
+				r.nextBeat = s.now + simBeat
+				s.report(r, false)
+			}
+		}
+		s.engine.Turn(s.now)
+	}
+}
+
+func (s *sim) happen() {
+	for {
+		best := -1
+		for i, e := range s.events {
+			if e.at <= s.now && (best < 0 || e.at < s.events[best].at || e.at == s.events[best].at && e.seq < s.events[best].seq) {
+				best = i
+			}
+		}
+		if best < 0 {
+			return
+		}
+		e := s.events[best]
+		s.events = slices.Delete(s.events, best, best+1)
+		e.do()
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
