--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -57,6 +57,9 @@
 		nextTimed time.Duration
 		learned   learning
 		pressure  pressure
+		// ordinaryNeed is in thousandths of a processor, by pool.
+		ordinaryNeed map[string]float64
+		nextNeed     time.Duration
 	}
 )
 
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -19,12 +19,21 @@
 	maxPlacements = 300
 	// standingUse is the part of its declared processors that a standing task
 	// uses on average; what it leaves is given to opportunistic tasks.
-	standingUse = 0.6
+	standingUse = 0.5
 	// alikeGain is what a runner full of standing tasks of the same image is
 	// worth to another of them, in run times; more than an empty runner is. It
 	// raised the worth of opportunistic work from 0.38 to 0.69 of what was owed
 	// in a day of 14 jobs a second on 66 runners, n=1 without processor time.
 	alikeGain = 3.0
+	// lateFactor objectives are how long a job's end still has a worth.
+	lateFactor = 3
+	// reserveFactor is how much room is kept for ordinary work when standing
+	// tasks come: the most of it that lately ran or waited, and some.
+	reserveFactor = 1.2
+	// needDecay is what is left of a past need after needInterval: half of it
+	// after 14 s, some bursts long.
+	needDecay    = 0.95
+	needInterval = time.Second
 	// otherRackFactor is how much longer a task may take away from its data;
 	// it decides whether a runner elsewhere is worth having now.
 	otherRackFactor = 3.0
@@ -72,6 +81,7 @@
 	}
 	e.dirty, e.nextTimed = false, e.now+timedInterval
 	stages := e.graph.Ready()
+	e.noteNeed(stages)
 	if len(stages) == 0 {
 		return
 	}
@@ -229,35 +239,17 @@
 	return false
 }
 
-// ordered puts the stages in the order in which they are served: by their
-// queue's priority, then standing work, then by the slack to the job's
-// objective.
+// ordered puts the stages in the order in which they are served: standing work
+// that ran before, then by their queue's priority and what their jobs can still
+// earn.
 func (e *Engine) ordered(stages []*graph.Stage, wall time.Time) []*graph.Stage {
-	type ranked struct {
-		stage    *graph.Stage
-		priority uint32
-		standing bool
-		slack    time.Duration
-	}
 	list := make([]ranked, 0, len(stages))
 	for _, s := range stages {
-		if s.Due.After(wall) {
-			continue
-		}
-		q := e.graph.Queue(s.Job.Queue)
-		list = append(list, ranked{s, q.GetPriority(), s.Standing(), e.slack(s, q, wall)})
-	}
-	sort.SliceStable(list, func(i, k int) bool {
-		a, b := list[i], list[k]
-		switch {
-		case a.standing != b.standing:
-			return a.standing
-		case a.priority != b.priority:
-			return a.priority < b.priority
-		default:
-			return a.slack < b.slack
+		if !s.Due.After(wall) {
+			list = append(list, e.rank(s, wall))
 		}
-	})
+	}
+	sort.SliceStable(list, func(i, k int) bool { return list[i].before(list[k]) })
 	sorted := make([]*graph.Stage, len(list))
 	for i := range list {
 		sorted[i] = list[i].stage
@@ -265,24 +257,67 @@
 	return sorted
 }
 
-// slack is how long the stage may still wait before its job misses its
-// objective. A job that has missed it goes behind those that can still keep
-// theirs, but isn't forgotten: it counts as if it had a whole objective more.
-func (e *Engine) slack(s *graph.Stage, q *wire.Queue, wall time.Time) time.Duration {
+// The prospects of a job.
+const (
+	inTime  = iota // it can still keep its objective
+	late           // it can still end within lateFactor objectives
+	tooLate        // neither
+)
+
+// ranked is a stage with what decides when it is served.
+type ranked struct {
+	stage    *graph.Stage
+	again    bool // standing work that ran before
+	priority uint32
+	prospect int
+	begun    bool
+	slack    time.Duration
+}
+
+func (r ranked) before(other ranked) bool {
+	switch {
+	case r.again != other.again:
+		return r.again
+	case r.priority != other.priority:
+		return r.priority < other.priority
+	case r.prospect != other.prospect:
+		return r.prospect < other.prospect
+	case r.begun != other.begun:
+		return r.begun
+	default:
+		return r.slack < other.slack
+	}
+}
+
+// rank works out what decides when a stage is served.
+func (e *Engine) rank(s *graph.Stage, wall time.Time) ranked {
+	q := e.graph.Queue(s.Job.Queue)
 	begin := s.Job.AcceptedAt
 	if !s.Due.IsZero() {
 		begin = s.Due
 	}
+	objective := e.objective(s, q)
+	age := wall.Sub(begin)
+	r := ranked{stage: s, priority: q.GetPriority(), begun: s.Job.Begun()}
+	r.again = s.Standing() && s.Ran()
+	r.slack = objective - age - s.Longest
+	if r.slack < 0 {
+		r.prospect = late
+		r.slack = lateFactor*objective - age - s.Longest
+	}
+	if r.slack < 0 {
+		r.prospect = tooLate
+	}
+	return r
+}
+
+// objective is the time in which a job should be done.
+func (e *Engine) objective(s *graph.Stage, q *wire.Queue) time.Duration {
 	var chain time.Duration
 	for _, first := range s.Job.Occurrences[s.Occurrence] {
 		chain = max(chain, first.Longest)
 	}
-	objective := time.Duration(float64(chain)*max(q.GetStretch(), 1)) + q.GetTarget().AsDuration()
-	slack := objective - wall.Sub(begin) - s.Longest
-	if slack < 0 {
-		slack += objective
-	}
-	return slack
+	return time.Duration(float64(chain)*max(q.GetStretch(), 1)) + q.GetTarget().AsDuration()
 }
 
 func (p *pass) placeStage(s *graph.Stage) {
@@ -295,6 +330,9 @@
 		if !t.Placeable() {
 			continue
 		}
+		if s.Standing() && t.Run == 0 && !p.spares(s, rooms) {
+			return
+		}
 		m := p.choose(t, rooms)
 		if m == nil {
 			if s.Step.SpreadLimit == 0 && s.Step.RequiredLabel == "" {
@@ -306,6 +344,47 @@
 	}
 }
 
+// spares tells whether enough room is left for ordinary work if a new standing
+// task is placed. Standing tasks stay; without a reserve they take, one by one,
+// all that others leave for a moment, and short urgent work then waits for as
+// long as they stay.
+func (p *pass) spares(s *graph.Stage, rooms []*room) bool {
+	free := -float64(s.Step.CpuMillis)
+	for _, m := range rooms {
+		free += m.cpu
+	}
+	return free >= p.engine.ordinaryNeed[p.engine.poolOf(s.Job)]*reserveFactor
+}
+
+// noteNeed keeps in mind how many processors ordinary work lately needed at
+// most, running or waiting, by pool.
+func (e *Engine) noteNeed(stages []*graph.Stage) {
+	if e.ordinaryNeed == nil {
+		e.ordinaryNeed = map[string]float64{}
+	}
+	need := map[string]float64{}
+	for _, s := range stages {
+		if !s.Step.Opportunistic && !s.Standing() {
+			need[e.poolOf(s.Job)] += float64(s.Step.CpuMillis) * float64(s.Unplaced)
+		}
+	}
+	for t := range e.runs {
+		if step := t.Stage.Step; !step.Opportunistic && !step.Standing {
+			need[e.poolOf(t.Stage.Job)] += float64(step.CpuMillis)
+		}
+	}
+	for pool, n := range need {
+		e.ordinaryNeed[pool] = max(n, e.ordinaryNeed[pool])
+	}
+	if e.now < e.nextNeed {
+		return
+	}
+	e.nextNeed = e.now + needInterval
+	for pool := range e.ordinaryNeed {
+		e.ordinaryNeed[pool] = max(need[pool], e.ordinaryNeed[pool]*needDecay)
+	}
+}
+
 // poolOf is where a job's tasks run: what its queue says now, or said when it
 // was taken if the queue is gone.
 func (e *Engine) poolOf(j *graph.Job) string {
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -78,6 +78,19 @@
 	return j.State != wire.WorkState_WORK_STATE_QUEUED && j.State != wire.WorkState_WORK_STATE_RUNNING
 }
 
+// Begun tells whether a task of the job has been placed.
+func (j *Job) Begun() bool { return j.begun }
+
+// Ran tells whether a task of the stage has been placed before.
+func (s *Stage) Ran() bool {
+	for _, t := range s.Tasks {
+		if t.Run > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Standing tells whether the stage's tasks run until the job is cancelled.
 func (s *Stage) Standing() bool { return s.Step.Standing }
 
