--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -15,7 +15,7 @@
 	overShare = 0.85
 	// goalShare of the target is what slowing aims at, and up to which new
 	// work may be placed beside.
-	goalShare = 0.7
+	goalShare = 0.85
 	// easeShare of the target is what is expected at most where a slowed run
 	// is let go again.
 	easeShare = 0.6
@@ -24,7 +24,7 @@
 	slowPause = 700 * time.Millisecond
 	// moveBelow is the pace under which a run that saves its progress is
 	// better stopped and resumed elsewhere.
-	moveBelow = 50
+	moveBelow = 25
 	// paceGrain keeps paces to few values.
 	paceGrain = 10
 	// usualUse is the part of its declared processors that an opportunistic
--- a/internal/sched/drive/runner.go
+++ b/internal/sched/drive/runner.go
@@ -17,7 +17,7 @@
 	holdWait = 1500 * time.Millisecond
 	// watchWait is the same where a latency target has to be watched: tails
 	// are figures of half a second.
-	watchWait = 500 * time.Millisecond
+	watchWait = 300 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 250 * time.Millisecond
 	// suspectAfter is how much later than due an answer may come before the
