--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -1,7 +1,7 @@
 // This file defines Desk and where its answers come from.
 
 // Package desk is how any process of the system has jobs of steps, catalogs
-// and runners' reports dealt with by the leader.
+// and agents' reports dealt with by the leader.
 //
 // An error with code Unavailable means that nothing was done; one with code
 // Aborted, DeadlineExceeded or Canceled that it may have been.
@@ -19,14 +19,14 @@
 	// Conn is a connection to a control replica.
 	Conn = grpc.ClientConnInterface
 
-	// Desk deals with what callers, operators and runners want.
+	// Desk deals with what callers, operators and agents want.
 	Desk struct {
 		Submit     func(context.Context, *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error)
 		Inspect    func(context.Context, *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error)
 		Cancel     func(context.Context, *wire.CancelWorkRequest) (*wire.CancelWorkResponse, error)
 		PutCatalog func(context.Context, *wire.PutCatalogRequest) (*wire.PutCatalogResponse, error)
 		GetCatalog func(context.Context, *wire.GetCatalogRequest) (*wire.GetCatalogResponse, error)
-		Report     func(context.Context, *wire.ReportRunnerRequest) (*wire.ReportRunnerResponse, error)
+		Report     func(context.Context, *wire.ReportAgentRequest) (*wire.ReportAgentResponse, error)
 	}
 )
 
@@ -34,7 +34,7 @@
 func Local(s wire.WorkServiceServer) Desk {
 	return Desk{
 		Submit: s.SubmitWork, Inspect: s.InspectWork, Cancel: s.CancelWork,
-		PutCatalog: s.PutCatalog, GetCatalog: s.GetCatalog, Report: s.ReportRunner,
+		PutCatalog: s.PutCatalog, GetCatalog: s.GetCatalog, Report: s.ReportAgent,
 	}
 }
 
@@ -46,7 +46,7 @@
 		Cancel:     ask(dial, wire.WorkServiceClient.CancelWork),
 		PutCatalog: ask(dial, wire.WorkServiceClient.PutCatalog),
 		GetCatalog: ask(dial, wire.WorkServiceClient.GetCatalog),
-		Report:     ask(dial, wire.WorkServiceClient.ReportRunner),
+		Report:     ask(dial, wire.WorkServiceClient.ReportAgent),
 	}
 }
 
@@ -92,7 +92,7 @@
 		Cancel:     over(again, wire.WorkServiceClient.CancelWork),
 		PutCatalog: over(again, wire.WorkServiceClient.PutCatalog),
 		GetCatalog: over(again, wire.WorkServiceClient.GetCatalog),
-		Report:     over(again, wire.WorkServiceClient.ReportRunner),
+		Report:     over(again, wire.WorkServiceClient.ReportAgent),
 	}
 }
 
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -1,5 +1,5 @@
 // This file defines how a control replica serves jobs of steps and reaches
-// runners.
+// agents.
 
 package ctrl
 
@@ -27,13 +27,13 @@
 )
 
 type (
-	// Platform connects a control process with runners and operators that
+	// Platform connects a control process with agents and operators that
 	// don't speak its gRPC interface. The zero value connects with none.
 	Platform struct {
-		// Carry takes an order to its runner and returns what became of it. It
+		// Carry takes an order to its agent and returns what became of it. It
 		// is called on a goroutine of its own.
 		Carry func(context.Context, drive.Order) drive.Answer
-		// Serve starts to serve operators and runners, and returns how to stop.
+		// Serve starts to serve operators and agents, and returns how to stop.
 		Serve func(*wire.ControlSettings, desk.Desk) (stop func(), err error)
 	}
 
@@ -49,20 +49,20 @@
 	c.engine = drive.New(drive.Options{
 		Graph: c.machine.Graph(), Propose: c.node.Propose,
 		Leads: c.drives, MayOrder: c.node.RightToLead, Send: c.carry, Wall: time.Now,
-		Lease: c.settings.RunnerLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
+		Lease: c.settings.AgentLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
 		Logger: c.logger,
 	})
 	c.background.Go(c.forgetLoop)
 }
 
-// drives tells, on the loop, the term in which this replica may drive runners.
+// drives tells, on the loop, the term in which this replica may drive agents.
 func (c *Control) drives() (uint64, bool) {
 	_, leads := c.node.Leads()
 	core := c.node.Core()
 	return core.Status().Term, leads && c.platform.Carry != nil && c.enoughVoters(core.Members())
 }
 
-// carry has an order taken to its runner. The right to lead is checked last:
+// carry has an order taken to its agent. The right to lead is checked last:
 // an order of a leader that was frozen or cut off must not leave beside those
 // of the next one.
 func (c *Control) carry(o drive.Order) {
@@ -281,8 +281,8 @@
 	return answer, err
 }
 
-// ReportRunner takes a heartbeat.
-func (s *workService) ReportRunner(ctx context.Context, r *wire.ReportRunnerRequest) (*wire.ReportRunnerResponse, error) {
+// ReportAgent takes a heartbeat.
+func (s *workService) ReportAgent(ctx context.Context, r *wire.ReportAgentRequest) (*wire.ReportAgentResponse, error) {
 	if err := s.ready(); err != nil {
 		return nil, err
 	}
@@ -298,7 +298,7 @@
 		if err != nil {
 			return nil, turned(err)
 		}
-		return &wire.ReportRunnerResponse{LeaderAddress: s.settings.GetWeb().GetWebAddress()}, nil
+		return &wire.ReportAgentResponse{LeaderAddress: s.settings.GetWeb().GetWebAddress()}, nil
 	case <-ctx.Done():
 		return nil, status.FromContextError(ctx.Err()).Err()
 	}
--- a/internal/sched/drive/runner.go
+++ b/internal/sched/drive/agent.go
@@ -1,4 +1,4 @@
-// This file defines what the leader knows of a runner and how it keeps its
+// This file defines what the leader knows of an agent and how it keeps its
 // lease.
 
 package drive
@@ -21,18 +21,18 @@
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 250 * time.Millisecond
 	// suspectAfter is how much later than due an answer may come before the
-	// runner gets no new work.
+	// agent gets no new work.
 	suspectAfter = 400 * time.Millisecond
-	// refusalPause keeps new work from a runner that refused a start, for its
+	// refusalPause keeps new work from an agent that refused a start, for its
 	// room or because it is unwell.
 	refusalPause = 300 * time.Millisecond
 )
 
-// runner is the soft state of a registered incarnation.
-type runner struct {
-	record *wire.Runner
+// agent is the soft state of a registered incarnation.
+type agent struct {
+	record *wire.Agent
 	runs   map[*graph.Task]*run
-	clock  runnerClock
+	clock  agentClock
 	// synced is set by the first answer under this leader's fence: from then
 	// on no order of an earlier leader can be carried out.
 	synced    bool
@@ -46,36 +46,36 @@
 	ending    bool          // ends are being committed
 	dropping  bool
 	restUntil time.Duration
-	leaveBy   time.Duration // when a leaving runner ends; 0 when unknown
+	leaveBy   time.Duration // when a leaving agent ends; 0 when unknown
 	// reportSequence is that of the latest heartbeat.
 	reportSequence uint64
 	standing       bool // a run with a latency target is there
 	paceChanged    time.Duration
 }
 
-func (e *Engine) newRunner(registered *graph.Runner) *runner {
-	r := &runner{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now}
-	e.runners[registered.Record.Id] = r
+func (e *Engine) newAgent(registered *graph.Agent) *agent {
+	r := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now}
+	e.agents[registered.Record.Id] = r
 	return r
 }
 
-// suspect tells whether the runner may be gone or cut off.
-func (e *Engine) suspect(r *runner) bool {
+// suspect tells whether the agent may be gone or cut off.
+func (e *Engine) suspect(r *agent) bool {
 	return r.failed > 0 || (r.holding && e.now > r.holdSince+r.holdFor+suspectAfter)
 }
 
 // usable tells whether new work may be placed there.
-func (e *Engine) usable(r *runner) bool {
+func (e *Engine) usable(r *agent) bool {
 	return r.synced && !r.record.Leaving && !r.dropping && !e.suspect(r) && e.now >= r.restUntil
 }
 
-// tendRunner renews the lease, and gives up a runner whose lease has run out.
-func (e *Engine) tendRunner(r *runner) {
+// tendAgent renews the lease, and gives up an agent whose lease has run out.
+func (e *Engine) tendAgent(r *agent) {
 	if r.dropping {
 		return
 	}
 	if r.failed > 0 && e.now-r.answered > e.options.Lease && r.clock.lapsed(e.now, e.since, e.options.Lease) {
-		e.dropRunner(r, "silent until its lease had surely run out")
+		e.dropAgent(r, "silent until its lease had surely run out")
 		return
 	}
 	if r.holding || r.ending || e.now < r.nextHold {
@@ -94,13 +94,13 @@
 	})
 }
 
-func (e *Engine) dropRunner(r *runner, reason string) {
+func (e *Engine) dropAgent(r *agent, reason string) {
 	if r.dropping {
 		return
 	}
 	r.dropping = true
-	e.options.Logger.Info("runner given up", "runner", r.record.Id, "address", r.record.Address, "reason", reason, "runs", len(r.runs), "silent", e.now-r.answered)
-	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropRunner{DropRunner: &wire.DropRunner{Id: r.record.Id, Reason: reason}}},
+	e.options.Logger.Info("agent given up", "agent", r.record.Id, "address", r.record.Address, "reason", reason, "runs", len(r.runs), "silent", e.now-r.answered)
+	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: r.record.Id, Reason: reason}}},
 		func(_ state.Result, err error) {
 			if err != nil {
 				r.dropping = false
@@ -108,20 +108,20 @@
 		})
 }
 
-func (e *Engine) holdAnswered(r *runner, a Answer) {
+func (e *Engine) holdAnswered(r *agent, a Answer) {
 	r.holding = false
 	if a.Verdict != Accepted {
 		if a.Verdict != Unsent || r.failed > 0 || e.now-r.answered > suspectAfter {
 			r.failed++
 		}
 		if r.failed == 1 {
-			e.options.Logger.Info("runner silent", "runner", r.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
+			e.options.Logger.Info("agent silent", "agent", r.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
 		}
 		r.nextHold = e.now + holdRetry
 		return
 	}
 	if r.failed > 0 {
-		e.options.Logger.Info("runner heard again", "runner", r.record.Id, "silent", e.now-r.answered)
+		e.options.Logger.Info("agent heard again", "agent", r.record.Id, "silent", e.now-r.answered)
 		e.dirty = true
 	}
 	r.failed, r.answered, r.nextHold = 0, e.now, e.now
@@ -140,21 +140,21 @@
 // dropPredecessors gives up earlier incarnations at the address of one that
 // has answered there: a new process at the same place is proof that the old
 // one has ended, and all that ran in it.
-func (e *Engine) dropPredecessors(r *runner) {
-	for _, other := range e.runners {
+func (e *Engine) dropPredecessors(r *agent) {
+	for _, other := range e.agents {
 		if other != r && other.record.Address == r.record.Address {
-			e.dropRunner(other, "another incarnation answered at its address")
+			e.dropAgent(other, "another incarnation answered at its address")
 		}
 	}
 }
 
-func (e *Engine) noteRunning(r *runner, a Answer) {
+func (e *Engine) noteRunning(r *agent, a Answer) {
 	r.standing = false
 	for i := range a.Running {
 		status := &a.Running[i]
 		t := e.graph.Find(status.Run)
 		known := e.runs[t]
-		if t == nil || known == nil || known.runner != r || known.number != status.Run.Run {
+		if t == nil || known == nil || known.agent != r || known.number != status.Run.Run {
 			e.stopStray(r, status.Run)
 			continue
 		}
@@ -167,14 +167,14 @@
 
 // stopStray stops a run that the state doesn't know to be there. It may only
 // be one whose end was noted on another ground.
-func (e *Engine) stopStray(r *runner, id *wire.RunId) {
-	e.options.Logger.Warn("unknown run stopped", "runner", r.record.Id, "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run)
+func (e *Engine) stopStray(r *agent, id *wire.RunId) {
+	e.options.Logger.Warn("unknown run stopped", "agent", r.record.Id, "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run)
 	e.send(r, Order{Kind: Stop, Run: id})
 }
 
-// noteEnded commits the ends that the runner lists. They are acknowledged to
+// noteEnded commits the ends that the agent lists. They are acknowledged to
 // it only after that, by the next hold.
-func (e *Engine) noteEnded(r *runner, a Answer) {
+func (e *Engine) noteEnded(r *agent, a Answer) {
 	last := r.lastSeen
 	var ends []*wire.RunEnd
 	for _, report := range a.Ended {
@@ -183,11 +183,11 @@
 		}
 		last = max(last, report.Number)
 		t := e.graph.Find(report.Run)
-		if t == nil || t.Runner != r.record.Id || t.Run != report.Run.Run {
+		if t == nil || t.Agent != r.record.Id || t.Run != report.Run.Run {
 			continue
 		}
 		e.noteOutcome(r, t, report.Outcome)
-		ends = append(ends, &wire.RunEnd{Id: report.Run, Runner: r.record.Id, Outcome: report.Outcome, Checkpoint: report.Checkpoint})
+		ends = append(ends, &wire.RunEnd{Id: report.Run, Agent: r.record.Id, Outcome: report.Outcome, Checkpoint: report.Checkpoint})
 	}
 	if len(ends) == 0 {
 		r.lastSeen = last
--- a/internal/sched/drive/clock.go
+++ b/internal/sched/drive/clock.go
@@ -1,14 +1,14 @@
-// This file defines how a runner's clock and the ends of its leases are known.
+// This file defines how an agent's clock and the ends of its leases are known.
 
 package drive
 
 import "time"
 
 const (
-	// slowPercent is how much slower than ours a runner's clock may go; from
-	// the platform's description of its runners.
+	// slowPercent is how much slower than ours an agent's clock may go; from
+	// the platform's description of its agents.
 	slowPercent = 2
-	// lapseSlack covers timers that fire late on the runner.
+	// lapseSlack covers timers that fire late on the agent.
 	lapseSlack = 200 * time.Millisecond
 	// earlierLeader is how long after this leader's election an order of an
 	// earlier one may still have been sent: its right to lead ends before the
@@ -16,11 +16,11 @@
 	earlierLeader = 1500 * time.Millisecond
 )
 
-// runnerClock is what is known of one incarnation's clock and of the deadlines
+// agentClock is what is known of one incarnation's clock and of the deadlines
 // that were sent to it.
-type runnerClock struct {
+type agentClock struct {
 	known   bool
-	reading time.Duration // the runner's clock
+	reading time.Duration // the agent's clock
 	readAt  time.Duration // boot time at which the reading had arrived
 	// deadline is the highest ever sent in this term, answered or not: an
 	// order without an answer may have been carried out.
@@ -29,21 +29,21 @@
 
 // note takes a reading. A reading that is overtaken by a later one is older
 // than it and is left out.
-func (c *runnerClock) note(reading, now time.Duration) {
+func (c *agentClock) note(reading, now time.Duration) {
 	if c.known && reading <= c.reading {
 		return
 	}
 	c.known, c.reading, c.readAt = true, reading, now
 }
 
-// at is the latest that the runner's clock may show now.
-func (c *runnerClock) at(now time.Duration) time.Duration {
+// at is the latest that the agent's clock may show now.
+func (c *agentClock) at(now time.Duration) time.Duration {
 	return c.reading + now - c.readAt
 }
 
 // grant returns the deadline for an order sent now, and remembers it; 0 while
 // the clock isn't known.
-func (c *runnerClock) grant(now, lease time.Duration) time.Duration {
+func (c *agentClock) grant(now, lease time.Duration) time.Duration {
 	if !c.known {
 		return 0
 	}
@@ -52,10 +52,10 @@
 	return d
 }
 
-// lapsed tells whether every lease on the runner has surely run out: those
-// that this leader sent by the runner's clock at its slowest, those of earlier
+// lapsed tells whether every lease on the agent has surely run out: those
+// that this leader sent by the agent's clock at its slowest, those of earlier
 // leaders by the longest lease since they could last send one.
-func (c *runnerClock) lapsed(now, ledSince, lease time.Duration) bool {
+func (c *agentClock) lapsed(now, ledSince, lease time.Duration) bool {
 	earlier := (earlierLeader + lease) * 100 / (100 - slowPercent)
 	if now < ledSince+earlier+lapseSlack {
 		return false
--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -40,7 +40,7 @@
 		assert.Assert(t, standing, "seed %d: job %s is %v after all faults ended", seed, id, j.State)
 		for _, task := range j.Occurrences[0][0].Tasks {
 			running := false
-			for _, r := range s.runners {
+			for _, r := range s.agents {
 				running = running || r.runs[taskKey(task.ID())] != nil
 			}
 			assert.Assert(t, running, "seed %d: standing task %s runs nowhere", seed, taskKey(task.ID()))
@@ -48,9 +48,9 @@
 	}
 }
 
-// Symptom: a task runs twice, a job never ends, a runner is committed beyond
+// Symptom: a task runs twice, a job never ends, an agent is committed beyond
 // its room. Sequence: orders are carried out seconds late or without an answer;
-// runners crash, are cut off, leave and come back at the same address; leaders
+// agents crash, are cut off, leave and come back at the same address; leaders
 // change while orders and commits are under way; jobs are cancelled; clocks go
 // slow. Cause, where it fails: an end that was taken for certain and wasn't, or
 // one that was never settled.
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -1,7 +1,7 @@
 // This file defines Engine, its start and its turn.
 
 // Package drive is what the leader does to have jobs of steps run: it keeps
-// leases on runners, places tasks, orders starts and stops and settles what
+// leases on agents, places tasks, orders starts and stops and settles what
 // became of orders without an answer.
 //
 // Engine is plain data with rules: time, commits and answers come in, orders
@@ -36,20 +36,20 @@
 		Send func(Order)
 		// Wall is the time of day, for work that is due at one.
 		Wall func() time.Time
-		// Lease is how long a runner may run on without hearing from the
+		// Lease is how long an agent may run on without hearing from the
 		// leader, StopGrace how long it takes at most to stop a run.
 		Lease, StopGrace time.Duration
 		Logger           *slog.Logger
 	}
 
-	// Engine drives the runners while this replica leads.
+	// Engine drives the agents while this replica leads.
 	Engine struct {
 		options Options
 		graph   *graph.Graph
 		term    uint64 // in which it drives; 0 when it doesn't
 		since   time.Duration
 		now     time.Duration
-		runners map[string]*runner
+		agents  map[string]*agent
 		runs    map[*graph.Task]*run
 		// dirty tells that something to place or a place may have come up.
 		dirty     bool
@@ -75,7 +75,7 @@
 }
 
 func (e *Engine) forget() {
-	e.runners = map[string]*runner{}
+	e.agents = map[string]*agent{}
 	e.runs = map[*graph.Task]*run{}
 	e.placing = false
 	e.dirty = true
@@ -103,8 +103,8 @@
 	if e.options.MayOrder != nil && !e.options.MayOrder(e.term) {
 		return
 	}
-	for _, r := range e.runners {
-		e.tendRunner(r)
+	for _, r := range e.agents {
+		e.tendAgent(r)
 	}
 	for _, r := range e.runs {
 		e.tendRun(r)
@@ -113,52 +113,52 @@
 }
 
 // adopt begins to drive. Every run in the state may exist and what became of
-// it is unknown until its runner has answered under this leader's fence.
+// it is unknown until its agent has answered under this leader's fence.
 func (e *Engine) adopt(term uint64) {
 	e.forget()
 	e.term, e.since = term, e.now
-	e.options.Logger.Info("driving begins", "term", term, "runners", len(e.graph.Runners()), "jobs", len(e.graph.Jobs()))
+	e.options.Logger.Info("driving begins", "term", term, "agents", len(e.graph.Agents()), "jobs", len(e.graph.Jobs()))
 }
 
 // followGraph makes the soft state match the replicated one.
 func (e *Engine) followGraph() {
-	for id, registered := range e.graph.Runners() {
-		r := e.runners[id]
+	for id, registered := range e.graph.Agents() {
+		r := e.agents[id]
 		if r == nil {
-			r = e.newRunner(registered)
+			r = e.newAgent(registered)
 		}
 		r.record = registered.Record
 		for t := range registered.Tasks {
 			e.followTask(r, t)
 		}
 	}
-	for id, r := range e.runners {
-		if e.graph.Runner(id) == nil {
-			delete(e.runners, id)
+	for id, r := range e.agents {
+		if e.graph.Agent(id) == nil {
+			delete(e.agents, id)
 			e.dropRuns(r)
 		}
 	}
 	for t, r := range e.runs {
-		if t.Runner != r.runner.record.Id || t.Run != r.number {
+		if t.Agent != r.agent.record.Id || t.Run != r.number {
 			e.endRun(r)
 		}
 	}
 }
 
-func (e *Engine) followTask(at *runner, t *graph.Task) {
+func (e *Engine) followTask(at *agent, t *graph.Task) {
 	known := e.runs[t]
-	if known != nil && known.number == t.Run && known.runner == at {
+	if known != nil && known.number == t.Run && known.agent == at {
 		return
 	}
 	if known != nil {
 		e.endRun(known)
 	}
-	r := &run{task: t, number: t.Run, runner: at, phase: phaseUnknown, pace: fullPace, wantedPace: fullPace, firstAt: e.now}
+	r := &run{task: t, number: t.Run, agent: at, phase: phaseUnknown, pace: fullPace, wantedPace: fullPace, firstAt: e.now}
 	e.runs[t] = r
 	at.runs[t] = r
 }
 
-func (e *Engine) dropRuns(at *runner) {
+func (e *Engine) dropRuns(at *agent) {
 	for _, r := range at.runs {
 		e.endRun(r)
 	}
@@ -166,7 +166,7 @@
 
 func (e *Engine) endRun(r *run) {
 	delete(e.runs, r.task)
-	delete(r.runner.runs, r.task)
+	delete(r.agent.runs, r.task)
 }
 
 // propose has a command about jobs of steps committed.
@@ -184,8 +184,8 @@
 }
 
 // send hands over an order under this leader's fence.
-func (e *Engine) send(at *runner, o Order) {
-	o.Runner, o.Fence, o.SentAt = at.record, e.term, e.now
+func (e *Engine) send(at *agent, o Order) {
+	o.Agent, o.Fence, o.SentAt = at.record, e.term, e.now
 	e.options.Send(o)
 }
 
@@ -193,9 +193,9 @@
 func (e *Engine) Answered(now time.Duration, a Answer) {
 	e.now = now
 	if a.Order.Fence != e.term || e.term == 0 {
-		return // an order of an earlier term; its runner is asked anew
+		return // an order of an earlier term; its agent is asked anew
 	}
-	r := e.runners[a.Order.Runner.Id]
+	r := e.agents[a.Order.Agent.Id]
 	if r == nil {
 		return
 	}
@@ -203,7 +203,7 @@
 		r.clock.note(a.Clock, now)
 	}
 	if a.Verdict == OtherIncarnation {
-		e.dropRunner(r, "another incarnation lives at its address")
+		e.dropAgent(r, "another incarnation lives at its address")
 		return
 	}
 	switch a.Order.Kind {
--- a/internal/sched/drive/learn.go
+++ b/internal/sched/drive/learn.go
@@ -1,4 +1,4 @@
-// This file defines what is learned of runners from how runs go there.
+// This file defines what is learned of agents from how runs go there.
 
 package drive
 
@@ -10,10 +10,10 @@
 )
 
 const (
-	// learnWeight is the weight of the newest run in a runner's averages; with
+	// learnWeight is the weight of the newest run in an agent's averages; with
 	// it about eight runs decide.
 	learnWeight = 0.25
-	// failCost is what a runner on which every run fails costs, in run times.
+	// failCost is what an agent on which every run fails costs, in run times.
 	failCost = 6.0
 	// minStall is the shortest time without progress after which a run counts
 	// as stalled; progress is told in whole percent with each hold.
@@ -26,34 +26,34 @@
 )
 
 type (
-	// record is what is learned of one runner.
+	// record is what is learned of one agent.
 	record struct {
-		slow   float64 // run time against the declared one, beside all runners'
+		slow   float64 // run time against the declared one, beside all agents'
 		failed float64 // share of runs that failed, stalled or were refused
 	}
 
-	// learning is what is learned of runners. The zero value knows nothing.
+	// learning is what is learned of agents. The zero value knows nothing.
 	learning struct {
-		runners map[string]*record
+		agents map[string]*record
 		// ratio is the run time against the declared one, by queue: declared
-		// times are off by queue more than by runner.
+		// times are off by queue more than by agent.
 		ratio map[string]float64
 	}
 )
 
 func (l *learning) of(id string) *record {
-	if l.runners == nil {
-		l.runners, l.ratio = map[string]*record{}, map[string]float64{}
+	if l.agents == nil {
+		l.agents, l.ratio = map[string]*record{}, map[string]float64{}
 	}
-	if l.runners[id] == nil {
-		l.runners[id] = &record{slow: 1}
+	if l.agents[id] == nil {
+		l.agents[id] = &record{slow: 1}
 	}
-	return l.runners[id]
+	return l.agents[id]
 }
 
 // slowness is how many sound run times a run is expected to cost there.
 func (l *learning) slowness(id string) float64 {
-	r := l.runners[id]
+	r := l.agents[id]
 	if r == nil {
 		return 1
 	}
@@ -69,8 +69,8 @@
 }
 
 // noteOutcome learns from an end. Opportunistic runs tell nothing of their
-// runner's speed, since they only get what others leave.
-func (e *Engine) noteOutcome(at *runner, t *graph.Task, outcome wire.RunOutcome) {
+// agent's speed, since they only get what others leave.
+func (e *Engine) noteOutcome(at *agent, t *graph.Task, outcome wire.RunOutcome) {
 	r := e.runs[t]
 	if r == nil {
 		return
@@ -86,7 +86,7 @@
 			learned.note(true)
 		}
 		e.options.Logger.Info("run failed", "job", t.Stage.Job.ID, "step", t.Stage.Index, "index", t.Index, "run", t.Run,
-			"runner", at.record.Id, "failures", t.Failures+1, "runner_failing", learned.failed)
+			"agent", at.record.Id, "failures", t.Failures+1, "agent_failing", learned.failed)
 	}
 }
 
@@ -116,13 +116,13 @@
 	if step.Standing {
 		limit = startupStall
 	}
-	// Only what the runner has told since counts: without a fresh answer there
+	// Only what the agent has told since counts: without a fresh answer there
 	// is no progress to see.
 	if r.confirmedAt-r.progressAt < limit {
 		return
 	}
 	r.stopReason = "it stands still"
-	e.learned.of(r.runner.record.Id).note(true)
+	e.learned.of(r.agent.record.Id).note(true)
 	e.options.Logger.Info("run stands still", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
-		"runner", r.runner.record.Id, "percent", r.percent, "unchanged", e.now-r.progressAt)
+		"agent", r.agent.record.Id, "percent", r.percent, "unchanged", e.now-r.progressAt)
 }
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -1,4 +1,4 @@
-// This file defines the model of runners that the engine is tested against.
+// This file defines the model of agents that the engine is tested against.
 
 package drive_test
 
@@ -20,7 +20,7 @@
 )
 
 type (
-	// modelRun is a run that exists on a model runner.
+	// modelRun is a run that exists on a model agent.
 	modelRun struct {
 		id       *wire.RunId
 		step     *wire.Step
@@ -30,11 +30,11 @@
 		stopping time.Duration // when a stop ends it; 0 for none
 	}
 
-	// modelRunner is one incarnation of a worker, by the rules that the
-	// platform's runners keep.
-	modelRunner struct {
+	// modelAgent is one incarnation of a worker, by the rules that the
+	// platform's agents keep.
+	modelAgent struct {
 		sim      *sim
-		record   *wire.Runner
+		record   *wire.Agent
 		offset   time.Duration
 		rate     float64
 		fence    uint64
@@ -62,16 +62,16 @@
 	return fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Index)
 }
 
-func (r *modelRunner) clock() time.Duration {
+func (r *modelAgent) clock() time.Duration {
 	return r.offset + time.Duration(float64(r.sim.now)*r.rate)
 }
 
-func (r *modelRunner) cut() bool { return r.sim.now < r.cutUntil }
+func (r *modelAgent) cut() bool { return r.sim.now < r.cutUntil }
 
 // handle carries an order out.
-func (r *modelRunner) handle(o drive.Order) drive.Answer {
+func (r *modelAgent) handle(o drive.Order) drive.Answer {
 	a := drive.Answer{Order: o, Verdict: drive.Accepted, ClockKnown: true, Clock: r.clock()}
-	if o.Runner.Id != r.record.Id {
+	if o.Agent.Id != r.record.Id {
 		return drive.Answer{Order: o, Verdict: drive.OtherIncarnation}
 	}
 	if o.Fence < r.fence {
@@ -96,7 +96,7 @@
 	return a
 }
 
-func (r *modelRunner) list(a *drive.Answer) {
+func (r *modelAgent) list(a *drive.Answer) {
 	for _, key := range r.keys() {
 		run := r.runs[key]
 		percent := min(int(100*run.work/max(run.length, 1)), 100)
@@ -105,11 +105,11 @@
 	a.Ended = append(a.Ended, r.ends...)
 }
 
-func (r *modelRunner) extend(deadline time.Duration) {
+func (r *modelAgent) extend(deadline time.Duration) {
 	r.deadline = max(r.deadline, min(deadline, r.clock()+modelMaxLease))
 }
 
-func (r *modelRunner) start(o drive.Order) drive.Verdict {
+func (r *modelAgent) start(o drive.Order) drive.Verdict {
 	key := taskKey(o.Run)
 	if o.Deadline < r.clock() {
 		return drive.RefusedLate
@@ -136,7 +136,7 @@
 	return drive.Accepted
 }
 
-func (r *modelRunner) committed() uint64 {
+func (r *modelAgent) committed() uint64 {
 	var sum uint64
 	for _, run := range r.runs {
 		sum += run.step.CpuMillis
@@ -144,7 +144,7 @@
 	return sum
 }
 
-func (r *modelRunner) stop(id *wire.RunId) {
+func (r *modelAgent) stop(id *wire.RunId) {
 	key := taskKey(id)
 	r.closed[key] = max(r.closed[key], id.Run)
 	if run := r.runs[key]; run != nil && run.id.Run <= id.Run && run.stopping == 0 {
@@ -153,7 +153,7 @@
 }
 
 // tick lets time go by for what runs.
-func (r *modelRunner) tick(step time.Duration) {
+func (r *modelAgent) tick(step time.Duration) {
 	if len(r.runs) > 0 && r.clock() > r.deadline {
 		for _, key := range r.keys() {
 			r.end(key, wire.RunOutcome_RUN_OUTCOME_LAPSED)
@@ -184,7 +184,7 @@
 	r.waiting = kept
 }
 
-func (r *modelRunner) end(key string, outcome wire.RunOutcome) {
+func (r *modelAgent) end(key string, outcome wire.RunOutcome) {
 	run := r.runs[key]
 	delete(r.runs, key)
 	r.closed[key] = max(r.closed[key], run.id.Run)
@@ -193,7 +193,7 @@
 	r.sim.ended(run, outcome)
 }
 
-func (r *modelRunner) keys() []string {
+func (r *modelAgent) keys() []string {
 	keys := make([]string, 0, len(r.runs))
 	for key := range r.runs {
 		keys = append(keys, key)
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -1,4 +1,4 @@
-// This file defines what the leader asks of runners and what they answer.
+// This file defines what the leader asks of agents and what they answer.
 
 package drive
 
@@ -15,12 +15,12 @@
 	// Verdict is what became of an order.
 	Verdict int
 
-	// Order is one call to a runner. It is idempotent: the same order may be
+	// Order is one call to an agent. It is idempotent: the same order may be
 	// sent again.
 	Order struct {
-		Kind   Kind
-		Runner *wire.Runner
-		// Fence is the leader's term. A runner refuses a lower one than it has
+		Kind  Kind
+		Agent *wire.Agent
+		// Fence is the leader's term. An agent refuses a lower one than it has
 		// seen.
 		Fence uint64
 		// Run is what is started, stopped or paced.
@@ -28,7 +28,7 @@
 		// Payload and Checkpoint belong to a start.
 		Payload, Checkpoint string
 		// Deadline is when the lease of all that runs there ends, on the
-		// runner's clock; 0 leaves it as it is.
+		// agent's clock; 0 leaves it as it is.
 		Deadline time.Duration
 		// LastSeen acknowledges all ends up to this number; of a hold.
 		LastSeen uint64
@@ -44,7 +44,7 @@
 	Answer struct {
 		Order   Order
 		Verdict Verdict
-		// ClockKnown tells that Clock is the runner's clock as it answered.
+		// ClockKnown tells that Clock is the agent's clock as it answered.
 		ClockKnown bool
 		Clock      time.Duration
 		Running    []RunStatus
@@ -53,7 +53,7 @@
 		Detail string
 	}
 
-	// RunStatus is a run that exists on a runner.
+	// RunStatus is a run that exists on an agent.
 	RunStatus struct {
 		Run        *wire.RunId
 		Checkpoint string
@@ -64,7 +64,7 @@
 		Usage int
 	}
 
-	// RunReport is a run that ended on a runner.
+	// RunReport is a run that ended on an agent.
 	RunReport struct {
 		Number     uint64
 		Run        *wire.RunId
@@ -85,11 +85,11 @@
 const (
 	// NoAnswer: the order may have been carried out, or may be yet.
 	NoAnswer Verdict = iota
-	// Unsent: the order surely didn't reach the runner.
+	// Unsent: the order surely didn't reach the agent.
 	Unsent
 	// Accepted: it was carried out, now or before.
 	Accepted
-	// RefusedRoom: the runner's room doesn't suffice.
+	// RefusedRoom: the agent's room doesn't suffice.
 	RefusedRoom
 	// RefusedOld: this run was stopped or has ended there.
 	RefusedOld
@@ -97,7 +97,7 @@
 	RefusedLate
 	// RefusedFence: a leader with a higher fence was there.
 	RefusedFence
-	// RefusedOther: the runner won't take the order, for another reason.
+	// RefusedOther: the agent won't take the order, for another reason.
 	RefusedOther
 	// OtherIncarnation: another incarnation lives at the address.
 	OtherIncarnation
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -19,7 +19,7 @@
 	// easeShare of the target is what is expected at most where a slowed run
 	// is let go again.
 	easeShare = 0.6
-	// slowPause lies between two changes of pace on a runner: the time until
+	// slowPause lies between two changes of pace on an agent: the time until
 	// one shows in the tails.
 	slowPause = 700 * time.Millisecond
 	// moveBelow is the pace under which a run that saves its progress is
@@ -32,8 +32,8 @@
 	usualUse = 0.8
 )
 
-// loadBeside is what the opportunistic runs on a runner were told to use.
-func loadBeside(at *runner) load {
+// loadBeside is what the opportunistic runs on an agent were told to use.
+func loadBeside(at *agent) load {
 	beside := load{}
 	for t, r := range at.runs {
 		if t.Stage.Step.Opportunistic && r.phase == phaseRunning {
@@ -43,7 +43,7 @@
 	return beside
 }
 
-func (r *runner) share(cpuMillis float64) float64 {
+func (r *agent) share(cpuMillis float64) float64 {
 	return cpuMillis / max(float64(r.record.CpuMillis), 1)
 }
 
@@ -53,12 +53,12 @@
 	if r.usage > 0 && r.pace > 0 {
 		use = float64(r.usage) * fullPace / float64(r.pace)
 	}
-	return r.runner.share(use)
+	return r.agent.share(use)
 }
 
-// watchTails learns from what a runner told of its standing runs, and slows or
+// watchTails learns from what an agent told of its standing runs, and slows or
 // lets go the opportunistic ones there.
-func (e *Engine) watchTails(at *runner) {
+func (e *Engine) watchTails(at *agent) {
 	if !at.standing {
 		e.letAllGo(at)
 		return
@@ -103,7 +103,7 @@
 // slowBeside slows those opportunistic runs that add most to a standing run's
 // tail, until it is expected to keep its target again.
 func (e *Engine) slowBeside(standing *run) {
-	at := standing.runner
+	at := standing.agent
 	target := float64(standing.task.Stage.Step.TailTargetMs)
 	excess := logOf(float64(standing.usage)) - logOf(target*goalShare)
 	for _, r := range e.offenders(standing) {
@@ -122,25 +122,25 @@
 	}
 }
 
-// moveAway stops an opportunistic run so that it resumes on another runner.
+// moveAway stops an opportunistic run so that it resumes on another agent.
 func (e *Engine) moveAway(r, standing *run) {
 	r.stopReason = "it disturbs a standing run"
-	r.task.AvoidRunner = r.runner.record.Id
+	r.task.AvoidAgent = r.agent.record.Id
 	e.options.Logger.Info("run moved away", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
-		"runner", r.runner.record.Id, "disturbed", standing.task.Stage.Job.ID, "tail_ms", standing.usage)
+		"agent", r.agent.record.Id, "disturbed", standing.task.Stage.Job.ID, "tail_ms", standing.usage)
 }
 
 // addsTo is what a run adds to the logarithm of a standing run's tail now.
 func (e *Engine) addsTo(standing, r *run) float64 {
 	weight := e.pressure.weight(standing.task.Stage.Step.Image, r.task.Stage.Step.Image)
-	return weight * r.runner.share(float64(r.usage))
+	return weight * r.agent.share(float64(r.usage))
 }
 
 // offenders are the opportunistic runs beside a standing one, those that add
 // most first.
 func (e *Engine) offenders(standing *run) []*run {
 	var list []*run
-	for t, r := range standing.runner.runs {
+	for t, r := range standing.agent.runs {
 		if t.Stage.Step.Opportunistic && r.phase == phaseRunning && r.wantedPace > 0 && r.stopReason == "" {
 			list = append(list, r)
 		}
@@ -156,7 +156,7 @@
 }
 
 // ease lets a slowed run go again where no standing run is expected to suffer.
-func (e *Engine) ease(at *runner) {
+func (e *Engine) ease(at *agent) {
 	for t, r := range at.runs {
 		if !t.Stage.Step.Opportunistic || r.wantedPace >= fullPace || r.phase != phaseRunning || r.stopReason != "" {
 			continue
@@ -169,9 +169,9 @@
 	}
 }
 
-// harmless tells whether all standing runs on a runner are expected to keep
+// harmless tells whether all standing runs on an agent are expected to keep
 // their targets well with more load of an image beside them.
-func (e *Engine) harmless(at *runner, image string, share float64) bool {
+func (e *Engine) harmless(at *agent, image string, share float64) bool {
 	for t, r := range at.runs {
 		target := float64(t.Stage.Step.TailTargetMs)
 		if target == 0 || r.phase != phaseRunning {
@@ -186,7 +186,7 @@
 }
 
 // letAllGo ends all slowing where there is no standing run any more.
-func (e *Engine) letAllGo(at *runner) {
+func (e *Engine) letAllGo(at *agent) {
 	for t, r := range at.runs {
 		if t.Stage.Step.Opportunistic {
 			e.setPace(r, fullPace, nil)
@@ -203,7 +203,7 @@
 		tail = standing.usage
 	}
 	e.options.Logger.Debug("pace changed", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
-		"runner", r.runner.record.Id, "from", r.wantedPace, "to", percent, "tail_ms", tail)
+		"agent", r.agent.record.Id, "from", r.wantedPace, "to", percent, "tail_ms", tail)
 	r.wantedPace = percent
 }
 
@@ -212,10 +212,10 @@
 		return
 	}
 	r.pacing = true
-	e.send(r.runner, Order{Kind: Pace, Run: r.id(), Percent: r.wantedPace})
+	e.send(r.agent, Order{Kind: Pace, Run: r.id(), Percent: r.wantedPace})
 }
 
-func (e *Engine) paceAnswered(at *runner, a Answer) {
+func (e *Engine) paceAnswered(at *agent, a Answer) {
 	r := e.runOf(at, a.Order.Run)
 	if r == nil {
 		return
@@ -227,5 +227,5 @@
 		return
 	}
 	r.nextPace = e.now + paceRetry
-	e.options.Logger.Info("pace not taken", "job", a.Order.Run.Job, "run", r.number, "runner", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
+	e.options.Logger.Info("pace not taken", "job", a.Order.Run.Job, "run", r.number, "agent", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
 }
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -20,10 +20,10 @@
 	// standingUse is the part of its declared processors that a standing task
 	// uses on average; what it leaves is given to opportunistic tasks.
 	standingUse = 0.5
-	// alikeGain is what a runner full of standing tasks of the same image is
-	// worth to another of them, in run times; more than an empty runner is. It
+	// alikeGain is what an agent full of standing tasks of the same image is
+	// worth to another of them, in run times; more than an empty agent is. It
 	// raised the worth of opportunistic work from 0.38 to 0.69 of what was owed
-	// in a day of 14 jobs a second on 66 runners, n=1 without processor time.
+	// in a day of 14 jobs a second on 66 agents, n=1 without processor time.
 	alikeGain = 3.0
 	// lateFactor objectives are how long a job's end still has a worth.
 	lateFactor = 3
@@ -35,14 +35,14 @@
 	needDecay    = 0.95
 	needInterval = time.Second
 	// otherRackFactor is how much longer a task may take away from its data;
-	// it decides whether a runner elsewhere is worth having now.
+	// it decides whether an agent elsewhere is worth having now.
 	otherRackFactor = 3.0
 )
 
 type (
-	// room is what a runner has left while a pass places tasks.
+	// room is what an agent has left while a pass places tasks.
 	room struct {
-		runner *runner
+		agent  *agent
 		cpu    float64 // thousandths of a processor not promised to anyone
 		memory float64 // MB
 		accel  float64
@@ -56,7 +56,7 @@
 		stages   map[*graph.Stage]int
 	}
 
-	// served is a standing task with a latency target on a runner.
+	// served is a standing task with a latency target on an agent.
 	served struct {
 		image string
 		// expected is the logarithm of its tail with all that is placed beside
@@ -113,7 +113,7 @@
 	for i, p := range placements {
 		if res.Placed[i] != nil {
 			if !errors.Is(res.Placed[i], graph.ErrNotReady) {
-				e.options.Logger.Info("placement refused", "job", p.Id.Job, "runner", p.Runner, "error", res.Placed[i])
+				e.options.Logger.Info("placement refused", "job", p.Id.Job, "agent", p.Agent, "error", res.Placed[i])
 			}
 			continue
 		}
@@ -121,7 +121,7 @@
 		if r == nil || r.number != p.Id.Run {
 			continue
 		}
-		e.options.Logger.Debug("run placed", "job", p.Id.Job, "step", p.Id.Step, "index", p.Id.Index, "run", p.Id.Run, "runner", p.Runner)
+		e.options.Logger.Debug("run placed", "job", p.Id.Job, "step", p.Id.Step, "index", p.Id.Index, "run", p.Id.Run, "agent", p.Agent)
 		if e.wantsStop(r) != "" {
 			e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "not wanted any more before it was ordered")
 			continue
@@ -130,17 +130,17 @@
 	}
 }
 
-// rooms works out what each usable runner has left. A run that may exist
+// rooms works out what each usable agent has left. A run that may exist
 // holds its room, whatever is known of it.
 func (e *Engine) rooms() map[string][]*room {
 	rooms := map[string][]*room{}
-	for _, r := range e.runners {
+	for _, r := range e.agents {
 		if !e.usable(r) {
 			continue
 		}
 		c := r.record
 		m := &room{
-			runner: r, cpu: float64(c.CpuMillis), memory: float64(c.MemoryMb), accel: float64(c.Accelerators),
+			agent: r, cpu: float64(c.CpuMillis), memory: float64(c.MemoryMb), accel: float64(c.Accelerators),
 			idle: float64(c.CpuMillis), capacity: float64(c.CpuMillis), stages: map[*graph.Stage]int{}, images: map[string]int{},
 		}
 		e.expectTails(m)
@@ -150,21 +150,21 @@
 		rooms[c.Pool] = append(rooms[c.Pool], m)
 	}
 	for _, list := range rooms {
-		sort.Slice(list, func(i, k int) bool { return list[i].runner.record.Id < list[k].runner.record.Id })
+		sort.Slice(list, func(i, k int) bool { return list[i].agent.record.Id < list[k].agent.record.Id })
 	}
 	return rooms
 }
 
-// expectTails works out what tails the standing tasks on a runner will have
+// expectTails works out what tails the standing tasks on an agent will have
 // with all that is placed beside them at full pace.
 func (e *Engine) expectTails(m *room) {
 	beside := load{}
-	for t, r := range m.runner.runs {
+	for t, r := range m.agent.runs {
 		if t.Stage.Step.Opportunistic && r.stopReason == "" {
 			beside[t.Stage.Step.Image] += r.fullShare()
 		}
 	}
-	for t, r := range m.runner.runs {
+	for t, r := range m.agent.runs {
 		target := float64(t.Stage.Step.TailTargetMs)
 		if target == 0 {
 			continue
@@ -179,9 +179,9 @@
 }
 
 // disturbs is how much a task would add to the tails of the standing tasks on
-// a runner, and whether all of them are expected to stay below their limits.
+// an agent, and whether all of them are expected to stay below their limits.
 func (p *pass) disturbs(s *graph.Stage, m *room) (adds float64, bearable bool) {
-	share := m.runner.share(float64(s.Step.CpuMillis) * usualUse)
+	share := m.agent.share(float64(s.Step.CpuMillis) * usualUse)
 	bearable = true
 	for _, v := range m.served {
 		more := p.engine.pressure.weight(v.image, s.Step.Image) * share
@@ -223,14 +223,14 @@
 		return false
 	case step.SpreadLimit > 0 && m.stages[s] >= int(step.SpreadLimit):
 		return false
-	case step.RequiredLabel != "" && !hasLabel(m.runner.record, step.RequiredLabel):
+	case step.RequiredLabel != "" && !hasLabel(m.agent.record, step.RequiredLabel):
 		return false
 	default:
 		return true
 	}
 }
 
-func hasLabel(r *wire.Runner, label string) bool {
+func hasLabel(r *wire.Agent, label string) bool {
 	for _, l := range r.Labels {
 		if l == label {
 			return true
@@ -399,7 +399,7 @@
 	p.noteBeside(t.Stage, m)
 	id := t.ID()
 	id.Run = number
-	p.placed = append(p.placed, &wire.RunPlacement{Id: id, Runner: m.runner.record.Id})
+	p.placed = append(p.placed, &wire.RunPlacement{Id: id, Agent: m.agent.record.Id})
 }
 
 // noteBeside adds a newly placed task to what is expected of the tails there.
@@ -412,13 +412,13 @@
 	if !step.Opportunistic {
 		return
 	}
-	share := m.runner.share(float64(step.CpuMillis) * usualUse)
+	share := m.agent.share(float64(step.CpuMillis) * usualUse)
 	for i := range m.served {
 		m.served[i].expected += p.engine.pressure.weight(m.served[i].image, step.Image) * share
 	}
 }
 
-// choose returns the runner that a task is best placed on, or nil.
+// choose returns the agent that a task is best placed on, or nil.
 func (p *pass) choose(t *graph.Task, rooms []*room) *room {
 	var best *room
 	bestCost := math.Inf(1)
@@ -433,27 +433,27 @@
 	return best
 }
 
-// cost rates a runner for a task; lower is better. Its unit is the task's run
-// time on a sound runner near its data.
+// cost rates an agent for a task; lower is better. Its unit is the task's run
+// time on a sound agent near its data.
 func (p *pass) cost(t *graph.Task, m *room) float64 {
 	step := t.Stage.Step
-	cost := p.engine.learned.slowness(m.runner.record.Id)
-	if step.DataRack != "" && step.DataRack != m.runner.record.Rack {
+	cost := p.engine.learned.slowness(m.agent.record.Id)
+	if step.DataRack != "" && step.DataRack != m.agent.record.Rack {
 		cost *= otherRackFactor
 	}
-	if t.LastFailedOn == m.runner.record.Id {
+	if t.LastFailedOn == m.agent.record.Id {
 		cost += 2
 	}
 	if step.Opportunistic {
 		adds, bearable := p.disturbs(t.Stage, m)
-		if !bearable || t.AvoidRunner == m.runner.record.Id {
+		if !bearable || t.AvoidAgent == m.agent.record.Id {
 			return math.Inf(1)
 		}
 		return cost + adds - m.idle/max(m.capacity, 1)
 	}
 	if step.Standing {
 		// Like images are disturbed by the same ones. Where they are together,
-		// there are runners left for each kind of opportunistic work.
+		// there are agents left for each kind of opportunistic work.
 		alike := float64(m.images[step.Image]) / float64(m.standing+1)
 		return cost - alikeGain*alike - m.cpu/max(m.capacity, 1)
 	}
@@ -465,7 +465,7 @@
 func (p *pass) placeGang(s *graph.Stage, rooms []*room) {
 	number := uint32(0)
 	for _, t := range s.Tasks {
-		if t.Runner != "" {
+		if t.Agent != "" {
 			return // members of the last run are still to end
 		}
 		number = max(number, t.Run)
@@ -484,7 +484,7 @@
 	byRack := map[string][]*room{}
 	var names []string
 	for _, m := range rooms {
-		rack := m.runner.record.Rack
+		rack := m.agent.record.Rack
 		if byRack[rack] == nil {
 			names = append(names, rack)
 		}
@@ -515,7 +515,7 @@
 	}
 	for _, placement := range trial.placed {
 		for _, m := range rooms {
-			if m.runner.record.Id == placement.Runner {
+			if m.agent.record.Id == placement.Agent {
 				m.take(s)
 			}
 		}
--- a/internal/sched/drive/pressure.go
+++ b/internal/sched/drive/pressure.go
@@ -11,7 +11,7 @@
 	// measured, so that a first try is made, but a small one.
 	firstWeight = 2.0
 	maxWeight   = 20.0
-	// weightStep is how far one observation moves a weight. A runner gives two
+	// weightStep is how far one observation moves a weight. An agent gives two
 	// a second for each standing task, so that a pair is known in some seconds.
 	weightStep = 0.3
 	// weightNoise damps steps on little load, where the swing of a standing
@@ -30,17 +30,17 @@
 
 	// pressure is the learned model: the logarithm of a standing task's tail
 	// is that of its own quiet tail plus, for each opportunistic image beside
-	// it, a weight times the share of the runner's processors which that image
+	// it, a weight times the share of the agent's processors which that image
 	// uses. The zero value knows nothing.
 	//
 	// Tails are told as figures of the last half second that swing with the
-	// task's own load, so the weights are learned over all runners by
+	// task's own load, so the weights are learned over all agents by
 	// normalized least mean squares, and the quiet tail for each run.
 	pressure struct {
 		weights map[pair]float64
 	}
 
-	// load is the share of a runner's processors in use, by image.
+	// load is the share of an agent's processors in use, by image.
 	load map[string]float64
 )
 
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -1,4 +1,4 @@
-// This file defines how heartbeats of runners are taken.
+// This file defines how heartbeats of agents are taken.
 
 package drive
 
@@ -16,21 +16,21 @@
 var ErrNotDriving = errors.New("drive: this replica doesn't lead")
 
 // Reported takes a heartbeat. Done is called once what it says is kept for
-// good: at once when it says nothing new. In particular that a runner leaves is
+// good: at once when it says nothing new. In particular that an agent leaves is
 // acknowledged only after every later leader is bound to know it.
-func (e *Engine) Reported(now time.Duration, report *wire.ReportRunnerRequest, done func(error)) {
+func (e *Engine) Reported(now time.Duration, report *wire.ReportAgentRequest, done func(error)) {
 	e.now = now
 	if e.term == 0 {
 		done(ErrNotDriving)
 		return
 	}
-	record := report.Runner
+	record := report.Agent
 	if e.graph.Dropped(record.Id) {
 		done(nil) // sent before it was given up; there is nothing to learn
 		return
 	}
-	known := e.graph.Runner(record.Id)
-	r := e.runners[record.Id]
+	known := e.graph.Agent(record.Id)
+	r := e.agents[record.Id]
 	if r != nil {
 		if report.Sequence != 0 && report.Sequence < r.reportSequence && !report.Gone {
 			done(nil)
@@ -45,20 +45,20 @@
 	case report.Gone && known == nil:
 		done(nil)
 	case report.Gone:
-		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_DropRunner{DropRunner: &wire.DropRunner{Id: record.Id, Reason: "it left"}}}, done)
-		e.options.Logger.Info("runner left", "runner", record.Id)
-	case known != nil && sameRunner(known.Record, record):
+		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: record.Id, Reason: "it left"}}}, done)
+		e.options.Logger.Info("agent left", "agent", record.Id)
+	case known != nil && sameAgent(known.Record, record):
 		done(nil)
 	default:
-		e.options.Logger.Info("runner reported", "runner", record.Id, "address", record.Address, "pool", record.Pool,
+		e.options.Logger.Info("agent reported", "agent", record.Id, "address", record.Address, "pool", record.Pool,
 			"failure_domain", record.FailureDomain, "leaving", record.Leaving, "new", known == nil)
-		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutRunner{PutRunner: record}}, done)
+		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, done)
 	}
 }
 
-func sameRunner(known, told *wire.Runner) bool {
+func sameAgent(known, told *wire.Agent) bool {
 	if known.Leaving && !told.Leaving {
-		told = proto.Clone(told).(*wire.Runner)
+		told = proto.Clone(told).(*wire.Agent)
 		told.Leaving = true
 	}
 	return proto.Equal(known, told)
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -19,9 +19,9 @@
 	phaseOrdered
 	// phaseUnresolved: a start had no answer and may yet be carried out.
 	phaseUnresolved
-	// phaseRunning: the runner said that it is there.
+	// phaseRunning: the agent said that it is there.
 	phaseRunning
-	// phaseClosed: the runner said that it will never start it from now on; it
+	// phaseClosed: the agent said that it will never start it from now on; it
 	// may have ended there.
 	phaseClosed
 )
@@ -31,11 +31,11 @@
 	// startRetry is the pause before a start without an answer is sent again.
 	startRetry = 100 * time.Millisecond
 	// stopRetry is the pause before a stop without an effect is sent again;
-	// more than the runner's answer takes, less than its grace.
+	// more than the agent's answer takes, less than its grace.
 	stopRetry = 500 * time.Millisecond
 	// paceRetry is the pause before a pace that wasn't taken is ordered again.
 	paceRetry = 300 * time.Millisecond
-	// leaveMargin is how long before a runner leaves its checkpointable work is
+	// leaveMargin is how long before an agent leaves its checkpointable work is
 	// stopped, beside the time that a stop takes.
 	leaveMargin = 400 * time.Millisecond
 )
@@ -44,7 +44,7 @@
 type run struct {
 	task   *graph.Task
 	number uint32
-	runner *runner
+	agent  *agent
 	phase  phase
 	// sends counts the starts sent by this leader, answered those that had an
 	// answer. While they differ, a start may yet arrive.
@@ -53,7 +53,7 @@
 	firstAt        time.Duration // when this leader first knew it
 	startedAt      time.Duration // when it was first known to run
 	closedAt       time.Duration // when it was closed
-	confirmedAt    time.Duration // when the runner last said that it is there
+	confirmedAt    time.Duration // when the agent last said that it is there
 
 	stopReason string
 	stopping   bool // a stop is on its way
@@ -93,29 +93,29 @@
 		return "its job has ended"
 	case r.task.Done:
 		return "its task is done"
-	case r.runner.record.Leaving && e.shouldLeave(r):
-		return "its runner is leaving"
+	case r.agent.record.Leaving && e.shouldLeave(r):
+		return "its agent is leaving"
 	default:
 		return r.stopReason
 	}
 }
 
-// shouldLeave tells whether a run on a leaving runner should be moved now.
+// shouldLeave tells whether a run on a leaving agent should be moved now.
 // Standing work moves at once, since it would be cut off anyway; other work
 // only when it could save its progress and can't finish.
 func (e *Engine) shouldLeave(r *run) bool {
 	if r.task.Stage.Standing() {
 		return true
 	}
-	if !r.task.Stage.Step.Checkpointable || r.runner.leaveBy == 0 {
+	if !r.task.Stage.Step.Checkpointable || r.agent.leaveBy == 0 {
 		return false
 	}
-	return e.now > r.runner.leaveBy-e.options.StopGrace-leaveMargin
+	return e.now > r.agent.leaveBy-e.options.StopGrace-leaveMargin
 }
 
 // tendRun sends what is due about one run.
 func (e *Engine) tendRun(r *run) {
-	if !r.runner.synced || r.runner.dropping || r.ending {
+	if !r.agent.synced || r.agent.dropping || r.ending {
 		return
 	}
 	if reason := e.wantsStop(r); reason != "" {
@@ -125,7 +125,7 @@
 	switch r.phase {
 	case phaseUnresolved:
 		// While holds fail too, another start would fare no better.
-		if e.now >= r.nextStart && r.runner.failed == 0 {
+		if e.now >= r.nextStart && r.agent.failed == 0 {
 			e.start(r)
 		}
 	case phaseRunning:
@@ -138,12 +138,12 @@
 	if r.stopping || e.now < r.nextStop || r.phase == phaseClosed {
 		return
 	}
-	if r.phase == phaseUnknown && r.sends == 0 && !r.runner.synced {
+	if r.phase == phaseUnknown && r.sends == 0 && !r.agent.synced {
 		return
 	}
-	e.options.Logger.Debug("run stopped", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number, "runner", r.runner.record.Id, "reason", reason)
+	e.options.Logger.Debug("run stopped", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number, "agent", r.agent.record.Id, "reason", reason)
 	r.stopping = true
-	e.send(r.runner, Order{Kind: Stop, Run: r.id()})
+	e.send(r.agent, Order{Kind: Stop, Run: r.id()})
 }
 
 func (r *run) id() *wire.RunId {
@@ -154,29 +154,29 @@
 
 // start sends the order, for the first time or again.
 func (e *Engine) start(r *run) {
-	deadline := r.runner.clock.grant(e.now, e.options.Lease)
+	deadline := r.agent.clock.grant(e.now, e.options.Lease)
 	if deadline == 0 {
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 		return
 	}
 	r.phase = phaseOrdered
 	r.sends++
-	e.send(r.runner, Order{
+	e.send(r.agent, Order{
 		Kind: Start, Run: r.id(), Payload: r.task.Stage.Job.Spec.Payload,
 		Checkpoint: r.task.Checkpoint, Deadline: deadline,
 	})
 }
 
-func (e *Engine) runOf(r *runner, id *wire.RunId) *run {
+func (e *Engine) runOf(r *agent, id *wire.RunId) *run {
 	t := e.graph.Find(id)
 	known := e.runs[t]
-	if t == nil || known == nil || known.runner != r || known.number != id.Run {
+	if t == nil || known == nil || known.agent != r || known.number != id.Run {
 		return nil
 	}
 	return known
 }
 
-func (e *Engine) startAnswered(at *runner, a Answer) {
+func (e *Engine) startAnswered(at *agent, a Answer) {
 	r := e.runOf(at, a.Order.Run)
 	if r == nil {
 		return
@@ -189,7 +189,7 @@
 	}
 	if a.Verdict != Accepted {
 		e.options.Logger.Info("start not taken", "job", a.Order.Run.Job, "step", a.Order.Run.Step, "index", a.Order.Run.Index,
-			"run", r.number, "runner", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail, "sends", r.sends)
+			"run", r.number, "agent", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail, "sends", r.sends)
 	}
 	switch a.Verdict {
 	case Accepted:
@@ -216,22 +216,22 @@
 	r.stopReason = "its start was refused while a copy of it may be on its way"
 }
 
-func (e *Engine) stopAnswered(at *runner, a Answer) {
+func (e *Engine) stopAnswered(at *agent, a Answer) {
 	r := e.runOf(at, a.Order.Run)
 	if r == nil {
 		return
 	}
 	r.stopping, r.nextStop = false, e.now+stopRetry
 	if a.Verdict != Accepted {
-		e.options.Logger.Info("stop not taken", "job", a.Order.Run.Job, "run", r.number, "runner", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
+		e.options.Logger.Info("stop not taken", "job", a.Order.Run.Job, "run", r.number, "agent", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
 		return
 	}
 	r.phase, r.closedAt = phaseClosed, e.now
 }
 
-// settleAbsent settles the runs that the runner doesn't list, by what is
+// settleAbsent settles the runs that the agent doesn't list, by what is
 // known of their orders.
-func (e *Engine) settleAbsent(at *runner, a Answer) {
+func (e *Engine) settleAbsent(at *agent, a Answer) {
 	listed := map[*graph.Task]bool{}
 	for i := range a.Running {
 		listed[e.graph.Find(a.Running[i].Run)] = true
@@ -250,7 +250,7 @@
 	}
 }
 
-// maxEndsListed is how many ends a runner lists at once.
+// maxEndsListed is how many ends an agent lists at once.
 const maxEndsListed = 500
 
 func (e *Engine) settleAbsentRun(r *run, askedAt time.Duration) {
@@ -275,12 +275,12 @@
 	}
 }
 
-// settle commits an end that no runner lists.
+// settle commits an end that no agent lists.
 func (e *Engine) settle(r *run, outcome wire.RunOutcome, reason string) {
 	r.ending = true
 	id := r.id()
-	e.options.Logger.Info("run settled", "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run, "runner", r.runner.record.Id, "outcome", outcome.String(), "reason", reason)
-	end := &wire.RunEnd{Id: id, Runner: r.runner.record.Id, Outcome: outcome}
+	e.options.Logger.Info("run settled", "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run, "agent", r.agent.record.Id, "outcome", outcome.String(), "reason", reason)
+	end := &wire.RunEnd{Id: id, Agent: r.agent.record.Id, Outcome: outcome}
 	e.commitEnds([]*wire.RunEnd{end}, func(ok bool) {
 		if !ok {
 			r.ending = false
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -1,5 +1,5 @@
 // This file defines the seeded simulation of an engine, its leaders and its
-// runners.
+// agents.
 
 package drive_test
 
@@ -51,7 +51,7 @@
 		term    uint64
 	}
 
-	// sim plays one engine after another against model runners. Every step is
+	// sim plays one engine after another against model agents. Every step is
 	// drawn from one seed.
 	sim struct {
 		random     *rand.Rand
@@ -65,7 +65,7 @@
 		term       uint64
 		leads      bool
 		log        []proposal
-		runners    map[string]*modelRunner // by address
+		agents     map[string]*modelAgent // by address
 		lives      int
 		steps      map[string]*wire.Step
 		jobs       []string
@@ -83,7 +83,7 @@
 func newSim(seed uint64, size int, guarded bool, f faults) *sim {
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 11)), faults: f, guarded: guarded, graph: graph.New(),
-		runners: map[string]*modelRunner{}, steps: map[string]*wire.Step{}, doneNoted: map[string]bool{},
+		agents: map[string]*modelAgent{}, steps: map[string]*wire.Step{}, doneNoted: map[string]bool{},
 		failures: map[string]int{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
 	}
 	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_PutCatalog{PutCatalog: &wire.Catalog{
@@ -118,9 +118,9 @@
 // bear starts a new incarnation at an address.
 func (s *sim) bear(address string) {
 	s.lives++
-	s.runners[address] = &modelRunner{
+	s.agents[address] = &modelAgent{
 		sim: s, offset: time.Duration(s.random.Int64N(int64(time.Hour))), rate: 1 - 0.02*s.random.Float64(),
-		record: &wire.Runner{Id: fmt.Sprintf("r-%d", s.lives), Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000},
+		record: &wire.Agent{Id: fmt.Sprintf("r-%d", s.lives), Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000},
 		runs:   map[string]*modelRun{}, closed: map[string]uint32{}, failing: s.chance(s.faults.failing),
 	}
 }
@@ -170,7 +170,7 @@
 	p.done(state.Result{Err: res.Err, Placed: res.Placed}, nil)
 }
 
-// carry takes an order to its runner: at once, seconds late, or with its
+// carry takes an order to its agent: at once, seconds late, or with its
 // answer lost.
 func (s *sim) carry(o drive.Order) {
 	engine := s.engine
@@ -184,11 +184,11 @@
 	}
 	s.after(timeout, func() { answer(drive.Answer{Order: o, Verdict: drive.NoAnswer}) })
 	deliver := func(reply func(drive.Answer)) {
-		r := s.runners[o.Runner.Address]
+		r := s.agents[o.Agent.Address]
 		if r == nil || r.cut() {
 			return
 		}
-		if o.Kind == drive.Hold && o.Wait > 0 && len(r.ends) == 0 && o.Runner.Id == r.record.Id && o.Fence >= r.fence {
+		if o.Kind == drive.Hold && o.Wait > 0 && len(r.ends) == 0 && o.Agent.Id == r.record.Id && o.Fence >= r.fence {
 			r.handle(o)
 			if len(r.ends) == 0 {
 				r.waiting = append(r.waiting, waitingHold{o, s.now + o.Wait, reply})
@@ -212,9 +212,9 @@
 }
 
 // began checks a start against all promises.
-func (s *sim) began(on *modelRunner, o drive.Order) {
+func (s *sim) began(on *modelAgent, o drive.Order) {
 	key := taskKey(o.Run)
-	for _, r := range s.runners {
+	for _, r := range s.agents {
 		if r.runs[key] != nil {
 			s.check(false, "%s run %d begins on %s while run %d is on %s", key, o.Run.Run, on.record.Id, r.runs[key].id.Run, r.record.Id)
 		}
@@ -242,7 +242,7 @@
 	}
 }
 
-// noted is called when an end is acknowledged to its runner.
+// noted is called when an end is acknowledged to its agent.
 func (s *sim) noted(r drive.RunReport) {
 	if r.Outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
 		s.doneNoted[taskKey(r.Run)] = true
@@ -263,7 +263,7 @@
 // calm ends all faults.
 func (s *sim) calm() {
 	s.quiet, s.quietSince, s.faults = true, s.now, faults{}
-	for _, r := range s.runners {
+	for _, r := range s.agents {
 		r.failing, r.cutUntil = false, 0
 	}
 }
@@ -286,7 +286,7 @@
 		spec.Steps = append(spec.Steps, step)
 	}
 	if s.random.IntN(5) == 0 {
-		// Longer than a lease: still at work when its runner is given up.
+		// Longer than a lease: still at work when its agent is given up.
 		spec.Steps[0].EstimateMs = 14000
 	}
 	if s.random.IntN(8) == 0 {
@@ -300,18 +300,18 @@
 }
 
 func (s *sim) disturb() {
-	addresses := make([]string, 0, len(s.runners))
-	for a := range s.runners {
+	addresses := make([]string, 0, len(s.agents))
+	for a := range s.agents {
 		addresses = append(addresses, a)
 	}
 	sort.Strings(addresses)
-	pick := func() *modelRunner { return s.runners[addresses[s.random.IntN(len(addresses))]] }
+	pick := func() *modelAgent { return s.agents[addresses[s.random.IntN(len(addresses))]] }
 	if len(addresses) > 0 && s.chance(s.faults.crash) {
 		r := pick()
-		delete(s.runners, r.record.Address)
+		delete(s.agents, r.record.Address)
 		s.after(time.Second+time.Duration(s.random.Int64N(int64(3*time.Second))), func() { s.bear(r.record.Address) })
 	}
-	if len(s.runners) > 0 && len(addresses) == len(s.runners) {
+	if len(s.agents) > 0 && len(addresses) == len(s.agents) {
 		if s.chance(s.faults.cut) {
 			pick().cutUntil = s.now + time.Duration(s.random.Int64N(int64(14*time.Second)))
 		}
@@ -331,26 +331,26 @@
 	}
 }
 
-// leave has a runner drain, go, and come back as another.
-func (s *sim) leave(r *modelRunner) {
-	r.record = proto.Clone(r.record).(*wire.Runner)
+// leave has an agent drain, go, and come back as another.
+func (s *sim) leave(r *modelAgent) {
+	r.record = proto.Clone(r.record).(*wire.Agent)
 	r.record.Leaving = true
 	s.after(4*time.Second, func() {
-		if s.runners[r.record.Address] == r {
-			delete(s.runners, r.record.Address)
+		if s.agents[r.record.Address] == r {
+			delete(s.agents, r.record.Address)
 			s.report(r, true)
 			s.after(time.Second, func() { s.bear(r.record.Address) })
 		}
 	})
 }
 
-func (s *sim) report(r *modelRunner, gone bool) {
+func (s *sim) report(r *modelAgent, gone bool) {
 	if r.cut() {
 		return
 	}
 	r.sequence++
-	s.engine.Reported(s.now, &wire.ReportRunnerRequest{
-		Runner: proto.Clone(r.record).(*wire.Runner), Sequence: r.sequence, Gone: gone,
+	s.engine.Reported(s.now, &wire.ReportAgentRequest{
+		Agent: proto.Clone(r.record).(*wire.Agent), Sequence: r.sequence, Gone: gone,
 	}, func(error) {})
 }
 
@@ -363,8 +363,8 @@
 		}
 		s.disturb()
 		s.happen()
-		for _, address := range sortedKeys(s.runners) {
-			r := s.runners[address]
+		for _, address := range sortedKeys(s.agents) {
+			r := s.agents[address]
 			r.tick(simTick)
 			if s.now >= r.nextBeat {
 				r.nextBeat = s.now + simBeat
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -1,4 +1,4 @@
-// This file defines Apply and the commands about the catalog, jobs and runners.
+// This file defines Apply and the commands about the catalog, jobs and agents.
 
 package graph
 
@@ -13,13 +13,13 @@
 
 // Why a command changes nothing.
 var (
-	ErrUnknownQueue  = errors.New("no such queue")
-	ErrUnknownJob    = errors.New("no such job")
-	ErrUnknownRunner = errors.New("no such runner")
-	ErrOtherContent  = errors.New("the id names a job with other content")
-	ErrSuperseded    = errors.New("the run isn't the task's present one")
-	ErrNotReady      = errors.New("the task isn't to be placed")
-	ErrLeaving       = errors.New("the runner is leaving")
+	ErrUnknownQueue = errors.New("no such queue")
+	ErrUnknownJob   = errors.New("no such job")
+	ErrUnknownAgent = errors.New("no such agent")
+	ErrOtherContent = errors.New("the id names a job with other content")
+	ErrSuperseded   = errors.New("the run isn't the task's present one")
+	ErrNotReady     = errors.New("the task isn't to be placed")
+	ErrLeaving      = errors.New("the agent is leaving")
 )
 
 // Result is what a command came to.
@@ -38,10 +38,10 @@
 		return Result{Err: g.submit(at, body.Submit)}
 	case *wire.WorkCommand_Cancel:
 		return Result{Err: g.cancel(at, body.Cancel)}
-	case *wire.WorkCommand_PutRunner:
-		return Result{Err: g.putRunner(body.PutRunner)}
-	case *wire.WorkCommand_DropRunner:
-		return Result{Err: g.dropRunner(at, body.DropRunner)}
+	case *wire.WorkCommand_PutAgent:
+		return Result{Err: g.putAgent(body.PutAgent)}
+	case *wire.WorkCommand_DropAgent:
+		return Result{Err: g.dropAgent(at, body.DropAgent)}
 	case *wire.WorkCommand_Place:
 		return g.place(body.Place)
 	case *wire.WorkCommand_End:
@@ -164,15 +164,15 @@
 	g.changed()
 }
 
-// putRunner registers a runner or renews what is known of it. Leaving is for
+// putAgent registers an agent or renews what is known of it. Leaving is for
 // good: a report that says otherwise is an older one.
-func (g *Graph) putRunner(r *wire.Runner) error {
+func (g *Graph) putAgent(r *wire.Agent) error {
 	if g.Dropped(r.Id) {
-		return ErrUnknownRunner
+		return ErrUnknownAgent
 	}
-	known := g.runners[r.Id]
+	known := g.agents[r.Id]
 	if known == nil {
-		g.runners[r.Id] = &Runner{Record: r, Tasks: map[*Task]bool{}}
+		g.agents[r.Id] = &Agent{Record: r, Tasks: map[*Task]bool{}}
 		g.changed()
 		return nil
 	}
@@ -184,17 +184,17 @@
 	return nil
 }
 
-// dropRunner forgets a runner that is surely gone, and with it all that ran
+// dropAgent forgets an agent that is surely gone, and with it all that ran
 // there.
-func (g *Graph) dropRunner(at time.Time, d *wire.DropRunner) error {
-	r := g.runners[d.Id]
+func (g *Graph) dropAgent(at time.Time, d *wire.DropAgent) error {
+	r := g.agents[d.Id]
 	if r == nil {
-		return ErrUnknownRunner
+		return ErrUnknownAgent
 	}
 	for _, t := range sortedTasks(r.Tasks) {
 		g.release(t)
 	}
-	delete(g.runners, d.Id)
+	delete(g.agents, d.Id)
 	g.dropped[d.Id] = at
 	g.changed()
 	return nil
@@ -218,7 +218,7 @@
 	for _, stages := range j.Occurrences {
 		for _, s := range stages {
 			for _, t := range s.Tasks {
-				if t.Runner != "" {
+				if t.Agent != "" {
 					return true
 				}
 			}
--- a/internal/store/graph/check.go
+++ b/internal/store/graph/check.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// MaxPayloadBytes bounds the text that a job hands to its tasks; runners
+	// MaxPayloadBytes bounds the text that a job hands to its tasks; agents
 	// take no more.
 	MaxPayloadBytes = 4000
 	// maxTasks bounds a job's tasks over all occurrences, so that one job
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -2,7 +2,7 @@
 
 // Package graph is the replicated state of jobs that are made of steps and
 // tasks: the catalog of queues, the jobs, and which run of which task may
-// exist on which runner.
+// exist on which agent.
 //
 // Apply is pure: time enters only as data of a committed command. A run is in
 // this state before the first order for it leaves, so any leader knows every
@@ -17,10 +17,10 @@
 )
 
 type (
-	// Runner is a registered incarnation of a worker and what may run there.
-	Runner struct {
-		Record *wire.Runner
-		// Tasks are those whose present run may exist on this runner.
+	// Agent is a registered incarnation of a worker and what may run there.
+	Agent struct {
+		Record *wire.Agent
+		// Tasks are those whose present run may exist on this agent.
 		Tasks map[*Task]bool
 	}
 
@@ -32,13 +32,13 @@
 		byHost   map[string][]*wire.Queue
 		pools    map[string]*wire.WorkerPool
 		jobs     map[string]*Job
-		runners  map[string]*Runner
+		agents   map[string]*Agent
 		dropped  map[string]time.Time
 		ready    map[*Stage]bool
 		pending  map[string]int // accepted jobs without a begun task, by queue
 		sequence uint64
 		// Changed is called with each stage that became ready, ended or was
-		// given up, and each time the set of runners changes; nil is allowed.
+		// given up, and each time the set of agents changes; nil is allowed.
 		Changed func()
 	}
 )
@@ -56,7 +56,7 @@
 	g.byHost = map[string][]*wire.Queue{}
 	g.pools = map[string]*wire.WorkerPool{}
 	g.jobs = map[string]*Job{}
-	g.runners = map[string]*Runner{}
+	g.agents = map[string]*Agent{}
 	g.dropped = map[string]time.Time{}
 	g.ready = map[*Stage]bool{}
 	g.pending = map[string]int{}
@@ -86,13 +86,13 @@
 	return jobs
 }
 
-// Runner returns a registered runner, or nil.
-func (g *Graph) Runner(id string) *Runner { return g.runners[id] }
+// Agent returns a registered agent, or nil.
+func (g *Graph) Agent(id string) *Agent { return g.agents[id] }
 
-// Runners returns the registered runners by id. It must not be changed.
-func (g *Graph) Runners() map[string]*Runner { return g.runners }
+// Agents returns the registered agents by id. It must not be changed.
+func (g *Graph) Agents() map[string]*Agent { return g.agents }
 
-// Dropped tells whether a runner of this id was dropped, and must not come
+// Dropped tells whether an agent of this id was dropped, and must not come
 // back: what it reports was sent before its end was settled.
 func (g *Graph) Dropped(id string) bool {
 	_, ok := g.dropped[id]
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -18,10 +18,10 @@
 	for _, j := range g.Jobs() {
 		image.Jobs = append(image.Jobs, saveJob(j))
 	}
-	for _, r := range g.runners {
-		image.Runners = append(image.Runners, r.Record)
+	for _, r := range g.agents {
+		image.Agents = append(image.Agents, r.Record)
 	}
-	sort.Slice(image.Runners, func(i, k int) bool { return image.Runners[i].Id < image.Runners[k].Id })
+	sort.Slice(image.Agents, func(i, k int) bool { return image.Agents[i].Id < image.Agents[k].Id })
 	for id, at := range g.dropped {
 		image.Dropped[id] = timestamppb.New(at)
 	}
@@ -44,7 +44,7 @@
 				}
 				saved.Tasks = append(saved.Tasks, &wire.WorkTask{
 					Occurrence: s.Occurrence, Step: s.Index, Index: t.Index, Run: t.Run, Failures: t.Failures,
-					Done: t.Done, Checkpoint: t.Checkpoint, Runner: t.Runner,
+					Done: t.Done, Checkpoint: t.Checkpoint, Agent: t.Agent,
 				})
 			}
 		}
@@ -62,8 +62,8 @@
 		g.setCatalog(image.Catalog)
 	}
 	g.sequence = image.NextSequence
-	for _, r := range image.Runners {
-		g.runners[r.Id] = &Runner{Record: r, Tasks: map[*Task]bool{}}
+	for _, r := range image.Agents {
+		g.agents[r.Id] = &Agent{Record: r, Tasks: map[*Task]bool{}}
 	}
 	for id, at := range image.Dropped {
 		g.dropped[id] = at.AsTime()
@@ -105,14 +105,14 @@
 	s := j.Occurrences[saved.Occurrence][saved.Step]
 	t := s.Tasks[saved.Index]
 	t.Run, t.Failures, t.Done, t.Checkpoint = saved.Run, saved.Failures, saved.Done, saved.Checkpoint
-	if saved.Runner != "" {
-		t.Runner = saved.Runner
-		g.runners[saved.Runner].Tasks[t] = true
+	if saved.Agent != "" {
+		t.Agent = saved.Agent
+		g.agents[saved.Agent].Tasks[t] = true
 	}
 	if t.Done {
 		s.done++
 	}
-	if t.Done || t.Runner != "" {
+	if t.Done || t.Agent != "" {
 		s.Unplaced--
 	}
 }
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -53,14 +53,14 @@
 		Done     bool
 		// Checkpoint is what the next run resumes from; empty for none.
 		Checkpoint string
-		// Runner is where the latest run may exist; empty when it surely
+		// Agent is where the latest run may exist; empty when it surely
 		// exists nowhere.
-		Runner string
-		// LastFailedOn is the runner of the latest failed run.
+		Agent string
+		// LastFailedOn is the agent of the latest failed run.
 		LastFailedOn string
-		// AvoidRunner is where it disturbed others; the leader's own note, not
+		// AvoidAgent is where it disturbed others; the leader's own note, not
 		// part of the replicated state.
-		AvoidRunner string
+		AvoidAgent string
 	}
 )
 
@@ -71,7 +71,7 @@
 }
 
 // Placeable tells whether the task waits to be placed.
-func (t *Task) Placeable() bool { return !t.Done && t.Runner == "" }
+func (t *Task) Placeable() bool { return !t.Done && t.Agent == "" }
 
 // Ended tells whether a job has reached its final state.
 func (j *Job) Ended() bool {
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -23,12 +23,12 @@
 // placeRun notes that a run may exist. What is asked is checked here and not
 // by the leader that asks, whose view may be older than this state.
 func (g *Graph) placeRun(p *wire.RunPlacement) error {
-	t, r := g.Find(p.Id), g.runners[p.Runner]
+	t, r := g.Find(p.Id), g.agents[p.Agent]
 	switch {
 	case t == nil:
 		return ErrUnknownJob
 	case r == nil:
-		return ErrUnknownRunner
+		return ErrUnknownAgent
 	case r.Record.Leaving:
 		return ErrLeaving
 	case !t.Placeable() || t.Stage.Job.Ended() || t.Stage.waitsFor > 0:
@@ -36,7 +36,7 @@
 	case p.Id.Run <= t.Run:
 		return ErrSuperseded
 	}
-	t.Run, t.Runner = p.Id.Run, p.Runner
+	t.Run, t.Agent = p.Id.Run, p.Agent
 	r.Tasks[t] = true
 	t.Stage.Unplaced--
 	g.noteReady(t.Stage)
@@ -46,10 +46,10 @@
 
 // release notes that the task's latest run surely exists nowhere any more.
 func (g *Graph) release(t *Task) {
-	if r := g.runners[t.Runner]; r != nil {
+	if r := g.agents[t.Agent]; r != nil {
 		delete(r.Tasks, t)
 	}
-	t.Runner = ""
+	t.Agent = ""
 	if !t.Done {
 		t.Stage.Unplaced++
 	}
@@ -60,7 +60,7 @@
 // repeated report and changes nothing.
 func (g *Graph) end(at time.Time, e *wire.RunEnd) {
 	t := g.Find(e.Id)
-	if t == nil || t.Run != e.Id.Run || t.Runner != e.Runner || t.Runner == "" {
+	if t == nil || t.Run != e.Id.Run || t.Agent != e.Agent || t.Agent == "" {
 		return
 	}
 	defer g.changed()
@@ -74,7 +74,7 @@
 		g.endFailed(at, t)
 	default:
 		if e.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
-			t.LastFailedOn = t.Runner
+			t.LastFailedOn = t.Agent
 		}
 		g.release(t)
 	}
@@ -104,7 +104,7 @@
 		if f.Done {
 			continue
 		}
-		if f.Runner == "" {
+		if f.Agent == "" {
 			f.Stage.Unplaced--
 		}
 		f.Done = true
@@ -131,7 +131,7 @@
 
 // endFailed counts an attempt, of the task or of its whole gang.
 func (g *Graph) endFailed(at time.Time, t *Task) {
-	t.LastFailedOn = t.Runner
+	t.LastFailedOn = t.Agent
 	g.release(t)
 	failures := uint32(0)
 	if t.Stage.Step.Gang {
