--- a/internal/base/admin/lines.go
+++ b/internal/base/admin/lines.go
@@ -13,6 +13,9 @@
 // the most that a control replica writes, and at most some 2 MB.
 const queuedLines = 4096
 
+// batchBytes bounds what is written at once.
+const batchBytes = 64 << 10
+
 var linesDropped = metrics.NewCounter("sycamoredeck_log_lines_dropped_total")
 
 // Lines passes log lines on to a writer without ever blocking. Whoever reads
@@ -51,13 +54,22 @@
 	<-l.done
 }
 
+// run writes what has gathered in one go: a write costs more than a line.
 func (l *Lines) run() {
 	defer close(l.done)
+	var batch []byte
 	for line := range l.queue {
-		if line == nil {
-			return
+		batch = append(batch[:0], line...)
+		last := line == nil
+		for !last && len(batch) < batchBytes && len(l.queue) > 0 {
+			next := <-l.queue
+			batch = append(batch, next...)
+			last = next == nil
 		}
 		// There is no place to report that logs can't be written.
-		_, _ = l.to.Write(line)
+		_, _ = l.to.Write(batch)
+		if last {
+			return
+		}
 	}
 }
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -8,6 +8,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/timestamppb"
@@ -26,6 +27,8 @@
 	forgetInterval = 10 * time.Second
 )
 
+var jobSeconds = metrics.NewHistogram("sycamoredeck_job_seconds")
+
 type (
 	// Platform connects a control process with agents and operators that
 	// don't speak its gRPC interface. The zero value connects with none.
@@ -52,9 +55,20 @@
 		Lease: c.settings.AgentLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
 		Logger: c.logger,
 	})
+	c.machine.Graph().Finished = c.jobFinished
 	c.background.Go(c.forgetLoop)
 }
 
+// jobFinished logs a job's end, once: where it is led from.
+func (c *Control) jobFinished(j *graph.Job) {
+	if _, leads := c.node.Leads(); !leads {
+		return
+	}
+	took := j.EndedAt.Sub(j.AcceptedAt)
+	jobSeconds.Update(took.Seconds())
+	c.logger.Info("job ended", "job", j.ID, "queue", j.Queue, "state", j.State.String(), "took_ms", took.Milliseconds(), "failures", j.Failures())
+}
+
 // drives tells, on the loop, the term in which this replica may drive agents.
 func (c *Control) drives() (uint64, bool) {
 	_, leads := c.node.Leads()
--- /dev/null
+++ b/internal/run/entry/desk.go
@@ -0,0 +1,70 @@
+// This file defines how an entry has jobs of steps dealt with by the leader.
+
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/status"
+
+	"sycamoredeck.example/internal/front/desk"
+	"sycamoredeck.example/internal/front/uplink"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+var (
+	workAnswered   = metrics.NewCounter(`sycamoredeck_work_requests_total{outcome="answered"}`)
+	workUnanswered = metrics.NewCounter(`sycamoredeck_work_requests_total{outcome="unanswered"}`)
+	workSeconds    = metrics.NewHistogram("sycamoredeck_work_request_seconds")
+)
+
+// desk has the leader deal with clients of the platform, and the next leader
+// while it changes. Each change that a client asks for, and each request that
+// isn't answered, gives a log line.
+func (e *Entry) desk() desk.Desk {
+	d := desk.Over(func(ctx context.Context, once func(context.Context, desk.Conn) error) error {
+		_, err := uplink.Ask(ctx, e.uplink, struct{}{}, func(ctx context.Context, conn *grpc.ClientConn, _ struct{}) (struct{}, error) {
+			return struct{}{}, once(ctx, conn)
+		})
+		return err
+	})
+	submit, inspect, cancel := d.Submit, d.Inspect, d.Cancel
+	d.Submit = func(ctx context.Context, r *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error) {
+		began := e.clock.Now()
+		response, err := submit(ctx, r)
+		e.noteWork("submit", r.Target, response.GetAnswer(), began, err)
+		return response, err
+	}
+	d.Cancel = func(ctx context.Context, r *wire.CancelWorkRequest) (*wire.CancelWorkResponse, error) {
+		began := e.clock.Now()
+		response, err := cancel(ctx, r)
+		e.noteWork("cancel", r.Target, response.GetAnswer(), began, err)
+		return response, err
+	}
+	d.Inspect = func(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
+		began := e.clock.Now()
+		response, err := inspect(ctx, r)
+		if err != nil {
+			e.noteWork("inspect", r.Target, response.GetAnswer(), began, err)
+		}
+		return response, err
+	}
+	return d
+}
+
+func (e *Entry) noteWork(call string, target *wire.WorkTarget, answer wire.WorkAnswer, began time.Time, err error) {
+	took := e.clock.Now().Sub(began)
+	workSeconds.Update(took.Seconds())
+	if err != nil {
+		workUnanswered.Inc()
+		e.logger.Warn("work request unanswered", "call", call, "host", target.Host, "path", target.Path, "code", status.Code(err).String(),
+			"error", status.Convert(err).Message(), "took_ms", took.Milliseconds(), "leader", e.uplink.LeaderAddress())
+		return
+	}
+	workAnswered.Inc()
+	e.logger.Info("work request answered", "call", call, "host", target.Host, "path", target.Path, "answer", answer.String(),
+		"took_ms", took.Milliseconds(), "leader", e.uplink.LeaderAddress())
+}
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -121,17 +121,6 @@
 	}
 }
 
-// desk has the leader deal with clients of the platform, and the next leader
-// while it changes.
-func (e *Entry) desk() desk.Desk {
-	return desk.Over(func(ctx context.Context, once func(context.Context, desk.Conn) error) error {
-		_, err := uplink.Ask(ctx, e.uplink, struct{}{}, func(ctx context.Context, conn *grpc.ClientConn, _ struct{}) (struct{}, error) {
-			return struct{}{}, once(ctx, conn)
-		})
-		return err
-	})
-}
-
 func (e *Entry) build() {
 	common := e.settings.Common
 	e.pool.Options = link.Options{Traced: common.TraceEndpoint != "", Source: common.SourceAddress}
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -4,6 +4,8 @@
 package drive
 
 import (
+	"fmt"
+	"strings"
 	"time"
 
 	"sycamoredeck.example/internal/schema/wire"
@@ -99,6 +101,7 @@
 		return
 	}
 	r.dropping = true
+	agentsDropped.Inc()
 	e.options.Logger.Info("agent given up", "agent", r.record.Id, "address", r.record.Address, "reason", reason, "runs", len(r.runs), "silent", e.now-r.answered)
 	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: r.record.Id, Reason: reason}}},
 		func(_ state.Result, err error) {
@@ -111,6 +114,7 @@
 func (e *Engine) holdAnswered(r *agent, a Answer) {
 	r.holding = false
 	if a.Verdict != Accepted {
+		holdsFailed.Inc()
 		if a.Verdict != Unsent || r.failed > 0 || e.now-r.answered > suspectAfter {
 			r.failed++
 		}
@@ -194,6 +198,7 @@
 		return
 	}
 	r.ending = true
+	e.options.Logger.Info("runs ended", "agent", r.record.Id, "runs", endsText(ends), "up_to", last)
 	e.commitEnds(ends, func(ok bool) {
 		r.ending = false
 		if ok {
@@ -203,9 +208,25 @@
 }
 
 func (e *Engine) commitEnds(ends []*wire.RunEnd, done func(ok bool)) {
+	for _, end := range ends {
+		countEnd(end.Outcome)
+	}
 	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_End{End: &wire.EndRuns{Ends: ends}}}, func(_ state.Result, err error) {
 		if done != nil {
 			done(err == nil)
 		}
 	})
 }
+
+// endsText lists ends for a log line.
+func endsText(ends []*wire.RunEnd) string {
+	var text strings.Builder
+	for i, end := range ends {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		fmt.Fprintf(&text, "%s.%d.%d.%d#%d=%s", end.Id.Job, end.Id.Occurrence, end.Id.Step, end.Id.Index, end.Id.Run,
+			strings.ToLower(strings.TrimPrefix(end.Outcome.String(), "RUN_OUTCOME_")))
+	}
+	return text.String()
+}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -60,6 +60,8 @@
 		// ordinaryNeed is in thousandths of a processor, by pool.
 		ordinaryNeed map[string]float64
 		nextNeed     time.Duration
+		// readySince is when each stage was first seen with tasks to place.
+		readySince map[*graph.Stage]time.Duration
 	}
 )
 
@@ -77,6 +79,7 @@
 func (e *Engine) forget() {
 	e.agents = map[string]*agent{}
 	e.runs = map[*graph.Task]*run{}
+	e.readySince = map[*graph.Stage]time.Duration{}
 	e.placing = false
 	e.dirty = true
 }
--- a/internal/sched/drive/learn.go
+++ b/internal/sched/drive/learn.go
@@ -122,6 +122,7 @@
 		return
 	}
 	r.stopReason = "it stands still"
+	runsStalled.Inc()
 	e.learned.of(r.agent.record.Id).note(true)
 	e.options.Logger.Info("run stands still", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
 		"agent", r.agent.record.Id, "percent", r.percent, "unchanged", e.now-r.progressAt)
--- /dev/null
+++ b/internal/sched/drive/meter.go
@@ -0,0 +1,28 @@
+// This file defines the counters of what the leader orders and learns.
+
+package drive
+
+import (
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+var (
+	runsPlaced    = metrics.NewCounter("sycamoredeck_runs_placed_total")
+	runsEnded     = metrics.NewCounter(`sycamoredeck_runs_ended_total{outcome="all"}`)
+	agentsDropped = metrics.NewCounter("sycamoredeck_agents_given_up_total")
+	holdsFailed   = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
+	runsMoved     = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
+	runsStalled   = metrics.NewCounter("sycamoredeck_runs_stalled_total")
+	readyToStart  = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
+)
+
+// countEnd counts a run's end, in all and by its outcome.
+func countEnd(outcome wire.RunOutcome) {
+	name := strings.ToLower(strings.TrimPrefix(outcome.String(), "RUN_OUTCOME_"))
+	runsEnded.Inc()
+	metrics.GetOrCreateCounter(`sycamoredeck_runs_ended_total{outcome="` + name + `"}`).Inc()
+}
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -4,8 +4,10 @@
 
 import (
 	"errors"
+	"fmt"
 	"math"
 	"sort"
+	"strings"
 	"time"
 
 	"sycamoredeck.example/internal/schema/wire"
@@ -82,16 +84,21 @@
 	e.dirty, e.nextTimed = false, e.now+timedInterval
 	stages := e.graph.Ready()
 	e.noteNeed(stages)
+	e.noteReady(stages)
 	if len(stages) == 0 {
 		return
 	}
 	p := &pass{engine: e, rooms: e.rooms(), wall: e.options.Wall()}
-	for _, s := range e.ordered(stages, p.wall) {
+	for _, r := range e.ordered(stages, p.wall) {
 		if len(p.placed) >= maxPlacements {
 			e.dirty = true
 			break
 		}
-		p.placeStage(s)
+		before := len(p.placed)
+		p.placeStage(r.stage)
+		if len(p.placed) > before {
+			e.logPlaced(r, p.placed[before:])
+		}
 	}
 	if len(p.placed) == 0 {
 		return
@@ -102,6 +109,20 @@
 		func(res state.Result, err error) { e.placementsCommitted(placements, res, err) })
 }
 
+// noteReady keeps since when stages have tasks to place.
+func (e *Engine) noteReady(stages []*graph.Stage) {
+	for _, s := range stages {
+		if _, known := e.readySince[s]; !known {
+			e.readySince[s] = e.now
+		}
+	}
+	for s := range e.readySince {
+		if s.Job.Ended() {
+			delete(e.readySince, s)
+		}
+	}
+}
+
 // placementsCommitted orders the starts. Only now may they leave: a later
 // leader has to know of every run that may exist.
 func (e *Engine) placementsCommitted(placements []*wire.RunPlacement, res state.Result, err error) {
@@ -121,7 +142,6 @@
 		if r == nil || r.number != p.Id.Run {
 			continue
 		}
-		e.options.Logger.Debug("run placed", "job", p.Id.Job, "step", p.Id.Step, "index", p.Id.Index, "run", p.Id.Run, "agent", p.Agent)
 		if e.wantsStop(r) != "" {
 			e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "not wanted any more before it was ordered")
 			continue
@@ -242,7 +262,7 @@
 // ordered puts the stages in the order in which they are served: standing work
 // that ran before, then by their queue's priority and what their jobs can still
 // earn.
-func (e *Engine) ordered(stages []*graph.Stage, wall time.Time) []*graph.Stage {
+func (e *Engine) ordered(stages []*graph.Stage, wall time.Time) []ranked {
 	list := make([]ranked, 0, len(stages))
 	for _, s := range stages {
 		if !s.Due.After(wall) {
@@ -250,11 +270,22 @@
 		}
 	}
 	sort.SliceStable(list, func(i, k int) bool { return list[i].before(list[k]) })
-	sorted := make([]*graph.Stage, len(list))
-	for i := range list {
-		sorted[i] = list[i].stage
+	return list
+}
+
+// logPlaced says where a stage's tasks go, and on what grounds it came now.
+func (e *Engine) logPlaced(r ranked, placed []*wire.RunPlacement) {
+	runsPlaced.Add(len(placed))
+	var text strings.Builder
+	for i, p := range placed {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		fmt.Fprintf(&text, "%d#%d@%s", p.Id.Index, p.Id.Run, p.Agent)
 	}
-	return sorted
+	e.options.Logger.Info("runs placed", "job", r.stage.Job.ID, "occurrence", r.stage.Occurrence, "step", r.stage.Index, "runs", text.String(),
+		"priority", r.priority, "slack_ms", r.slack.Milliseconds(), "prospect", prospectNames[r.prospect],
+		"waited_ms", (e.now - e.readySince[r.stage]).Milliseconds(), "unplaced", r.stage.Unplaced)
 }
 
 // The prospects of a job.
@@ -264,6 +295,8 @@
 	tooLate        // neither
 )
 
+var prospectNames = [...]string{inTime: "in time", late: "late", tooLate: "too late"}
+
 // ranked is a stage with what decides when it is served.
 type ranked struct {
 	stage    *graph.Stage
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -195,6 +195,9 @@
 	case Accepted:
 		r.phase = phaseRunning
 		r.startedAt, r.progressAt, r.confirmedAt = e.now, e.now, e.now
+		if since, ok := e.readySince[r.task.Stage]; ok && r.number == 1 {
+			readyToStart.Update((e.now - since).Seconds())
+		}
 	case NoAnswer, RefusedLate, RefusedFence:
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 	case RefusedOld:
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -161,6 +161,9 @@
 			delete(g.ready, s)
 		}
 	}
+	if g.Finished != nil {
+		g.Finished(j)
+	}
 	g.changed()
 }
 
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -40,6 +40,9 @@
 		// Changed is called with each stage that became ready, ended or was
 		// given up, and each time the set of agents changes; nil is allowed.
 		Changed func()
+		// Finished is called with each job that reaches its final state by a
+		// command; nil is allowed.
+		Finished func(*Job)
 	}
 )
 
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -105,6 +105,19 @@
 	}
 }
 
+// Failures is the number of the job's failed runs.
+func (j *Job) Failures() uint32 {
+	var sum uint32
+	for _, stages := range j.Occurrences {
+		for _, s := range stages {
+			for _, t := range s.Tasks {
+				sum += t.Failures
+			}
+		}
+	}
+	return sum
+}
+
 // build makes the stages that a job's spec describes.
 func (j *Job) build() {
 	times := max(j.Spec.Occurrences, 1)
