--- a/internal/base/setup/setup_test.go
+++ b/internal/base/setup/setup_test.go
@@ -3,6 +3,8 @@
 package setup_test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -75,3 +77,46 @@
 		assert.NilError(t, err)
 	})
 }
+
+// Flags go before variables, those before the file; what the file names and
+// isn't a setting stops the start, since it would be without effect.
+func TestSettingsFile(t *testing.T) {
+	cases := []struct {
+		name, file, says string
+	}{
+		{"good", `{"InstanceId":"a","FailureDomain":"b","ListenAddress":"127.0.0.1:1","ControlAddresses":"127.0.0.1:2"}`, ""},
+		{"seeds instead", `{"InstanceId":"a","FailureDomain":"b","ListenAddress":"127.0.0.1:1","SeedAddresses":"127.0.0.1:2"}`, ""},
+		{"unknown name", `{"InstanceID":"a"}`, "InstanceID"},
+		{"cut short", `{"InstanceId":`, "JSON object"},
+		{"wrong value", `{"InstanceId":"a","FailureDomain":"b","ListenAddress":"here","ControlAddresses":"127.0.0.1:2"}`, "--listen-address"},
+		{"neither addresses nor seeds", `{"InstanceId":"a","FailureDomain":"b","ListenAddress":"127.0.0.1:1"}`, "--control-addresses"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "settings")
+			assert.NilError(t, os.WriteFile(path, []byte(c.file), 0o600))
+			settings := &wire.EntrySettings{}
+			b := setup.Bind(settings, pflag.NewFlagSet("x", pflag.ContinueOnError))
+			b.Environ = func() []string { return nil }
+			b.LookupEnv = func(name string) (string, bool) {
+				if name == "SYCAMOREDECK_INSTANCE_ID" {
+					return "from-variable", true
+				}
+				return path, name == setup.FileVariable
+			}
+			err := b.Load()
+			if c.says != "" {
+				assert.ErrorContains(t, err, c.says)
+				return
+			}
+			assert.NilError(t, err)
+			assert.Equal(t, settings.Common.InstanceId, "from-variable")
+			t.Run("a wrong file changes nothing", func(t *testing.T) {
+				assert.NilError(t, os.WriteFile(path, []byte("{"), 0o600))
+				_, err := b.Reload()
+				assert.ErrorContains(t, err, "JSON object")
+				assert.Equal(t, settings.Common.FailureDomain, "b")
+			})
+		})
+	}
+}
