--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -87,3 +87,28 @@
 		})
 	}
 }
+
+// Symptom: after a change of leader opportunistic runs stand still, and are then
+// stopped and begun anew elsewhere. Sequence: a leader slows a run to nothing
+// and goes; the next takes every run for unslowed and never lets it go again.
+func TestNewLeaderSettlesThePaces(t *testing.T) {
+	s := newSim(1, 2, true, faults{})
+	s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1000, EstimateMs: 60000, Opportunistic: true})
+	s.run(2*time.Second, 0)
+	slowed := 0
+	for _, r := range s.agents {
+		for _, run := range r.runs {
+			run.pace = 0
+			slowed++
+		}
+	}
+	assert.Equal(t, slowed, 1)
+	s.depose()
+	s.run(6*time.Second, 0)
+	for _, r := range s.agents {
+		for _, run := range r.runs {
+			assert.Equal(t, run.pace, 100)
+			assert.Equal(t, run.id.Run, uint32(1), "the run was begun anew")
+		}
+	}
+}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -156,7 +156,7 @@
 	if known != nil {
 		e.endRun(known)
 	}
-	r := &run{task: t, number: t.Run, agent: at, phase: phaseUnknown, pace: fullPace, wantedPace: fullPace, firstAt: e.now}
+	r := &run{task: t, number: t.Run, agent: at, phase: phaseUnknown, pace: unknownPace, wantedPace: fullPace, firstAt: e.now}
 	e.runs[t] = r
 	at.runs[t] = r
 }
--- a/internal/sched/drive/learn.go
+++ b/internal/sched/drive/learn.go
@@ -109,7 +109,7 @@
 // elsewhere. Its checkpoint is kept.
 func (e *Engine) tendProgress(r *run) {
 	step := r.task.Stage.Step
-	if r.stopReason != "" || r.percent >= 100 || r.pace < fullPace || step.Gang {
+	if r.stopReason != "" || r.percent >= 100 || (step.Opportunistic && r.pace < fullPace) || step.Gang {
 		return
 	}
 	limit := max(minStall, time.Duration(float64(step.EstimateMs)*stallShare)*time.Millisecond)
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -27,6 +27,7 @@
 		work     time.Duration // done so far
 		length   time.Duration
 		fails    bool
+		pace     int // percent
 		stopping time.Duration // when a stop ends it; 0 for none
 	}
 
@@ -92,6 +93,9 @@
 	case drive.Stop:
 		r.stop(o.Run)
 	case drive.Pace:
+		if run := r.runs[taskKey(o.Run)]; run != nil && run.id.Run == o.Run.Run {
+			run.pace = o.Percent
+		}
 	}
 	return a
 }
@@ -130,7 +134,7 @@
 	r.sim.began(r, o)
 	length := time.Duration(step.EstimateMs) * time.Millisecond
 	r.runs[key] = &modelRun{
-		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length,
+		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, pace: 100,
 		fails: r.failing || r.sim.random.Float64() < r.sim.faults.fail,
 	}
 	return drive.Accepted
@@ -161,7 +165,7 @@
 	}
 	for _, key := range r.keys() {
 		run := r.runs[key]
-		run.work += step
+		run.work += step * time.Duration(run.pace) / 100
 		switch {
 		case run.stopping != 0 && r.sim.now >= run.stopping:
 			r.end(key, wire.RunOutcome_RUN_OUTCOME_STOPPED)
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -162,7 +162,7 @@
 		if !t.Stage.Step.Opportunistic || r.wantedPace >= fullPace || r.phase != phaseRunning || r.stopReason != "" {
 			continue
 		}
-		if e.harmless(at, t.Stage.Step.Image, r.fullShare()*float64(fullPace-r.pace)/fullPace) {
+		if e.harmless(at, t.Stage.Step.Image, r.fullShare()*float64(fullPace-max(r.pace, 0))/fullPace) {
 			at.paceChanged = e.now
 			e.setPace(r, fullPace, nil)
 			return
@@ -209,7 +209,7 @@
 }
 
 func (e *Engine) tendPace(r *run) {
-	if r.pacing || r.pace == r.wantedPace || e.now < r.nextPace {
+	if r.pacing || r.pace == r.wantedPace || e.now < r.nextPace || !r.task.Stage.Step.Opportunistic {
 		return
 	}
 	r.pacing = true
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -283,9 +283,9 @@
 		}
 		fmt.Fprintf(&text, "%d#%d@%s", p.Id.Index, p.Id.Run, p.Agent)
 	}
-	e.options.Logger.Info("runs placed", "job", r.stage.Job.ID, "occurrence", r.stage.Occurrence, "step", r.stage.Index, "runs", text.String(),
+	e.options.Logger.Info("runs placed", "job", r.stage.Job.ID, "occurrence", r.stage.Occurrence, "step", r.stage.Index,
 		"priority", r.priority, "slack_ms", r.slack.Milliseconds(), "prospect", prospectNames[r.prospect],
-		"waited_ms", (e.now - e.readySince[r.stage]).Milliseconds(), "unplaced", r.stage.Unplaced)
+		"waited_ms", (e.now - e.readySince[r.stage]).Milliseconds(), "unplaced", r.stage.Unplaced, "runs", text.String())
 }
 
 // The prospects of a job.
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -28,6 +28,8 @@
 
 const (
 	fullPace = 100
+	// unknownPace is that of a run which an earlier leader may have slowed.
+	unknownPace = -1
 	// startRetry is the pause before a start without an answer is sent again.
 	startRetry = 100 * time.Millisecond
 	// stopRetry is the pause before a stop without an effect is sent again;
@@ -159,6 +161,9 @@
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 		return
 	}
+	if r.pace == unknownPace {
+		r.pace = fullPace
+	}
 	r.phase = phaseOrdered
 	r.sends++
 	e.send(r.agent, Order{
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -270,8 +270,7 @@
 
 // submit hands in a random job.
 func (s *sim) submit() {
-	id := fmt.Sprintf("%016x", len(s.jobs)+1)
-	spec := &wire.WorkSpec{Payload: "p"}
+	spec := &wire.WorkSpec{}
 	for i := range 1 + s.random.IntN(3) {
 		step := &wire.Step{
 			Count: uint32(1 + s.random.IntN(4)), CpuMillis: uint64(1000 + s.random.IntN(2000)), MemoryMb: 100,
@@ -292,9 +291,16 @@
 	if s.random.IntN(8) == 0 {
 		spec.Steps = []*wire.Step{{Count: 2, CpuMillis: 1000, MemoryMb: 100, EstimateMs: 500, Standing: true}}
 	}
-	for i, step := range spec.Steps {
+	s.submitSpec(spec.Steps...)
+}
+
+// submitSpec hands in a job of the given steps.
+func (s *sim) submitSpec(steps ...*wire.Step) {
+	id := fmt.Sprintf("%016x", len(s.jobs)+1)
+	for i, step := range steps {
 		s.steps[fmt.Sprintf("%s.%d", id, i)] = step
 	}
+	spec := &wire.WorkSpec{Payload: "p", Steps: steps}
 	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: id, Queue: "q", Spec: spec}}})
 	s.jobs = append(s.jobs, id)
 }
