--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -27,7 +27,7 @@
 		work     time.Duration // done so far
 		length   time.Duration
 		fails    bool
-		pace     int // percent
+		pace     int           // percent
 		stopping time.Duration // when a stop ends it; 0 for none
 	}
 
