--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -20,6 +20,9 @@
 	// watchWait is the same where a latency target has to be watched: tails
 	// are figures of half a second.
 	watchWait = 300 * time.Millisecond
+	// maxLooks bounds the holds a second where tails are watched: each takes
+	// about 0.1 ms of the leader's processor.
+	maxLooks = 800
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 250 * time.Millisecond
 	// suspectAfter is how much later than due an answer may come before the
@@ -87,7 +90,7 @@
 	if r.synced {
 		r.holdFor = holdWait
 		if r.standing {
-			r.holdFor = watchWait
+			r.holdFor = max(watchWait, time.Duration(len(e.agents))*time.Second/maxLooks)
 		}
 	}
 	e.send(r, Order{
@@ -214,6 +217,9 @@
 		countEnd(end.Outcome)
 	}
 	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_End{End: &wire.EndRuns{Ends: ends}}}, func(_ state.Result, err error) {
+		if err == nil {
+			e.forgetEnded(ends)
+		}
 		if done != nil {
 			done(err == nil)
 		}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -121,7 +121,7 @@
 	if term != e.term {
 		e.adopt(term)
 	}
-	if e.dirty || now >= e.nextTimed {
+	if now >= e.nextTend {
 		e.followGraph()
 	}
 	// Without the right to order all would be sent in vain, again each turn.
@@ -202,6 +202,17 @@
 	at.runs[t] = r
 }
 
+// forgetEnded forgets the soft state of runs whose ends were committed, so that
+// their room is free at once.
+func (e *Engine) forgetEnded(ends []*wire.RunEnd) {
+	for _, end := range ends {
+		t := e.graph.Find(end.Id)
+		if r := e.runs[t]; r != nil && (t.Agent != r.agent.record.Id || t.Run != r.number) {
+			e.endRun(r)
+		}
+	}
+}
+
 func (e *Engine) dropRuns(at *agent) {
 	for _, r := range at.runs {
 		e.endRun(r)
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -104,7 +104,11 @@
 	for _, key := range r.keys() {
 		run := r.runs[key]
 		percent := min(int(100*run.work/max(run.length, 1)), 100)
-		a.Running = append(a.Running, drive.RunStatus{Run: run.id, Percent: percent, Checkpoint: "saved"})
+		status := drive.RunStatus{Run: run.id, Percent: percent, Checkpoint: "saved", Usage: int(run.step.CpuMillis)}
+		if run.step.TailTargetMs > 0 {
+			status.Usage = int(run.step.TailTargetMs) / 2
+		}
+		a.Running = append(a.Running, status)
 	}
 	a.Ended = append(a.Ended, r.ends...)
 }
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -95,7 +95,7 @@
 	e.dirty, e.nextTimed = false, e.now+timedInterval
 	began := e.options.Boot()
 	defer func() { e.nextPass = e.now + max(passShare*(e.options.Boot()-began), passInterval) }()
-	stages := e.graph.Ready()
+	stages := e.graph.ReadyStages()
 	e.noteNeed(stages)
 	e.noteReady(stages)
 	if len(stages) == 0 {
@@ -143,7 +143,6 @@
 	if err != nil {
 		return
 	}
-	e.followGraph()
 	for i, p := range placements {
 		if res.Placed[i] != nil {
 			if !errors.Is(res.Placed[i], graph.ErrNotReady) {
@@ -151,10 +150,12 @@
 			}
 			continue
 		}
-		r := e.runs[e.graph.Find(p.Id)]
-		if r == nil || r.number != p.Id.Run {
+		t, at := e.graph.Find(p.Id), e.agents[p.Agent]
+		if t == nil || at == nil || t.Agent != p.Agent || t.Run != p.Id.Run {
 			continue
 		}
+		e.followTask(at, t)
+		r := e.runs[t]
 		if e.wantsStop(r) != "" {
 			e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "not wanted any more before it was ordered")
 			continue
@@ -282,7 +283,7 @@
 			list = append(list, e.rank(s, wall))
 		}
 	}
-	sort.SliceStable(list, func(i, k int) bool { return list[i].before(list[k]) })
+	sort.Slice(list, func(i, k int) bool { return list[i].before(list[k]) })
 	return list
 }
 
@@ -330,8 +331,10 @@
 		return r.prospect < other.prospect
 	case r.begun != other.begun:
 		return r.begun
-	default:
+	case r.slack != other.slack:
 		return r.slack < other.slack
+	default:
+		return r.stage.Before(other.stage)
 	}
 }
 
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -108,11 +108,17 @@
 // Ready returns the stages that have tasks to place, whether due yet or not,
 // in the order in which their jobs were accepted.
 func (g *Graph) Ready() []*Stage {
+	stages := g.ReadyStages()
+	sort.Slice(stages, func(i, k int) bool { return stages[i].Before(stages[k]) })
+	return stages
+}
+
+// ReadyStages returns the same stages in no order.
+func (g *Graph) ReadyStages() []*Stage {
 	stages := make([]*Stage, 0, len(g.ready))
 	for s := range g.ready {
 		stages = append(stages, s)
 	}
-	sort.Slice(stages, func(i, k int) bool { return stages[i].before(stages[k]) })
 	return stages
 }
 
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -94,7 +94,8 @@
 // Standing tells whether the stage's tasks run until the job is cancelled.
 func (s *Stage) Standing() bool { return s.Step.Standing }
 
-func (s *Stage) before(other *Stage) bool {
+// Before orders stages by their jobs' acceptance, occurrence and step.
+func (s *Stage) Before(other *Stage) bool {
 	switch {
 	case s.Job.Sequence != other.Job.Sequence:
 		return s.Job.Sequence < other.Job.Sequence
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -161,7 +161,7 @@
 	sort.Slice(list, func(i, k int) bool {
 		a, b := list[i], list[k]
 		if a.Stage != b.Stage {
-			return a.Stage.before(b.Stage)
+			return a.Stage.Before(b.Stage)
 		}
 		return a.Index < b.Index
 	})
