--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -289,21 +289,26 @@
 }
 
 // announceLoop makes a replica that has no place in the membership visible to
-// operators until it has one.
+// the leader and to operators until it has one. One that was put out while it
+// was away doesn't know; it finds that it hears of no leader.
 func (c *Control) announceLoop() {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	led := c.clock.Now()
 	for {
 		select {
 		case <-c.closing:
 			return
 		case <-c.clock.After(announceInterval):
 		}
+		if c.view.Load().leader != "" {
+			led = c.clock.Now()
+		}
 		member := false
 		for _, m := range c.view.Load().members {
 			member = member || m.ReplicaId == c.self.ReplicaId
 		}
-		if !member {
+		if !member || c.clock.Now().Sub(led) > lostTouch {
 			c.founder.Announce(ctx)
 		}
 	}
--- a/internal/run/ctrl/member.go
+++ b/internal/run/ctrl/member.go
@@ -17,6 +17,13 @@
 	// maxMembers bounds voters and learners together. Learners beyond the
 	// voters only follow; each costs the leader its share of messages.
 	maxMembers = 9
+	// goneAfter is how long a voter is silent before one that stands by takes
+	// its place: longer than a restart takes, shorter than the users let pass
+	// between two losses that count one by one (4 s after a replacement came).
+	goneAfter = 3 * time.Second
+	// lostTouch is how long a replica hears of no leader before it asks whether
+	// it was put out.
+	lostTouch = 3 * time.Second
 )
 
 // enoughVoters tells whether all that is acknowledged survives the losses that
@@ -72,12 +79,18 @@
 		if learner.Voter {
 			continue
 		}
-		if newer := c.waitingAt(learner.Address); newer != nil {
+		if newer := c.waitingAt(learner.Address); newer != nil && newer.ReplicaId != learner.ReplicaId {
 			return "remove learner " + learner.Name + ", whose disk is gone", core.Remove(learner.ReplicaId)
 		}
 		if old := voterAt(m, learner.Address); old != nil {
 			return "replace the lost disk of " + old.Name, core.Replace(old.ReplicaId, learner.ReplicaId)
 		}
+		if core.CaughtUp(learner.ReplicaId) != nil || c.node.SilentFor(learner.ReplicaId) > membershipInterval {
+			continue
+		}
+		if gone := c.goneVoter(m); gone != nil && countVoters(m) >= c.wantedVoters() {
+			return "put out silent " + gone.Name + " for " + learner.Name, core.Remove(gone.ReplicaId)
+		}
 		if countVoters(m) < c.wantedVoters() {
 			return "give " + learner.Name + " a vote", core.Promote(learner.ReplicaId)
 		}
@@ -90,6 +103,18 @@
 	return "", nil
 }
 
+// goneVoter returns a voter that has been silent for long, or nil. It may come
+// back with its vote, so it is put out first and its place given after that,
+// each by a change of its own; replacing it in one step is only for a lost disk.
+func (c *Control) goneVoter(m *wire.Membership) *wire.ControlMember {
+	for _, member := range m.Members {
+		if member.Voter && c.node.SilentFor(member.ReplicaId) > goneAfter {
+			return member
+		}
+	}
+	return nil
+}
+
 // waitingAt returns the replica at an address that asks to be let in, or nil.
 func (c *Control) waitingAt(address string) *wire.ControlMember {
 	for _, w := range c.founder.Waiting() {
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -320,6 +320,11 @@
 	return n.leaderAt, ready
 }
 
+// SilentFor tells the leader, on the loop, how long ago a replica last answered.
+func (n *Node) SilentFor(id uint64) time.Duration {
+	return time.Duration(n.core.SilentTicks(id)) * n.options.HeartbeatInterval / ticksPerHeartbeat
+}
+
 // ConfirmedAt is, on the loop, the last moment at which this replica surely
 // led: when the latest round began that a quorum has answered.
 func (n *Node) ConfirmedAt() time.Time { return n.confirmed }
--- a/internal/store/quorum/append.go
+++ b/internal/store/quorum/append.go
@@ -269,7 +269,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.recentActive = true
+	p.recentActive, p.silentTicks = true, 0
 	p.round = max(p.round, m.Round)
 	if m.Reject {
 		c.handleRefusal(m, p)
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -71,6 +71,8 @@
 		match, next  uint64
 		round        uint64
 		recentActive bool
+		// silentTicks is how long ago the replica last answered.
+		silentTicks int
 		// probing is set by a refusal: what the replica holds isn't known until
 		// it accepts an empty append.
 		probing bool
--- a/internal/store/quorum/elect.go
+++ b/internal/store/quorum/elect.go
@@ -20,6 +20,9 @@
 
 func (c *Core) tickLeader() {
 	c.heartbeatElapsed++
+	for _, p := range c.peers {
+		p.silentTicks++
+	}
 	if c.heartbeatElapsed >= c.options.HeartbeatTicks {
 		c.Heartbeat()
 	}
--- a/internal/store/quorum/member.go
+++ b/internal/store/quorum/member.go
@@ -82,6 +82,15 @@
 	})
 }
 
+// SilentTicks tells the leader how many ticks ago a replica last answered; 0
+// for itself and for replicas that it doesn't know.
+func (c *Core) SilentTicks(id uint64) int {
+	if p := c.peers[id]; p != nil && id != c.options.ID {
+		return p.silentTicks
+	}
+	return 0
+}
+
 // CaughtUp tells whether a replica holds nearly all records: nil, or
 // ErrBehind.
 func (c *Core) CaughtUp(id uint64) error {
