--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -36,6 +36,9 @@
 		// Carry takes an order to its agent and returns what became of it. It
 		// is called on a goroutine of its own.
 		Carry func(context.Context, drive.Order) drive.Answer
+		// Advise asks the outside service at the address of the settings which
+		// agents may run a step. It is called on a goroutine of its own.
+		Advise func(context.Context, string, drive.AdviceRequest) drive.AdviceAnswer
 		// Serve starts to serve operators and agents, and returns how to stop.
 		Serve func(*wire.ControlSettings, desk.Desk) (stop func(), err error)
 	}
@@ -53,7 +56,7 @@
 		Graph: c.machine.Graph(), Propose: c.node.Propose,
 		Leads: c.drives, MayOrder: c.node.RightToLead, Send: c.carry, Wall: time.Now,
 		Lease: c.settings.AgentLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
-		Logger: c.logger,
+		Advise: c.advise, Logger: c.logger,
 	})
 	c.machine.Graph().Finished = c.jobFinished
 	c.background.Go(c.forgetLoop)
@@ -103,6 +106,18 @@
 	}()
 }
 
+// advise has the outside service asked.
+func (c *Control) advise(r drive.AdviceRequest) {
+	go func() {
+		answer := drive.AdviceAnswer{Detail: "no advice address is set"}
+		if c.platform.Advise != nil && c.settings.AdviceAddress != "" {
+			answer = c.platform.Advise(context.Background(), c.settings.AdviceAddress, r)
+		}
+		answer.Request = r
+		c.node.Post(func() { c.engine.Advised(boot.Now(), answer) })
+	}()
+}
+
 func (c *Control) servePlatform() (func(), error) {
 	if c.platform.Serve == nil {
 		return func() {}, nil
--- /dev/null
+++ b/internal/sched/drive/advice.go
@@ -0,0 +1,152 @@
+// This file defines queues whose steps may run only where an outside service
+// allows it.
+
+package drive
+
+import (
+	"sort"
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+)
+
+const (
+	// maxAdvised is how many agents one call names. A call's time grows with
+	// them, and a step rarely needs more.
+	maxAdvised = 30
+	// ticketMargin is how long a ticket must still hold when a start is ordered:
+	// the time of an order and one repetition.
+	ticketMargin = 800 * time.Millisecond
+	// adviceRetry is the pause after a call that had no answer.
+	adviceRetry = 300 * time.Millisecond
+)
+
+type (
+	// AdviceRequest asks which of some agents may run a step.
+	AdviceRequest struct {
+		Job              string
+		Occurrence, Step uint32
+		Agents           []string
+		// Timeout is how long the answer may take.
+		Timeout time.Duration
+		// Term is the leader's; an answer in a later one is left out.
+		Term uint64
+	}
+
+	// AdviceAnswer is what the service said.
+	AdviceAnswer struct {
+		Request AdviceRequest
+		// Answered tells that there was an answer.
+		Answered bool
+		// Tickets are those of the agents that may run the step.
+		Tickets map[string]string
+		// Valid is how long the tickets hold, from the answer on.
+		Valid  time.Duration
+		Detail string
+	}
+
+	ticket struct {
+		text  string
+		until time.Duration
+	}
+
+	// advice is what the service said of one step.
+	advice struct {
+		asked   map[string]bool
+		tickets map[string]ticket
+	}
+)
+
+// policyOf is the advice policy of a stage's queue, or nil.
+func (e *Engine) policyOf(s *graph.Stage) *wire.AdvicePolicy {
+	return e.graph.Queue(s.Job.Queue).GetAdvice()
+}
+
+func (e *Engine) adviceOf(s *graph.Stage) *advice {
+	a := e.advice[s]
+	if a == nil {
+		a = &advice{asked: map[string]bool{}, tickets: map[string]ticket{}}
+		e.advice[s] = a
+	}
+	return a
+}
+
+// ticketFor returns a ticket that holds long enough for a start, or false.
+func (e *Engine) ticketFor(s *graph.Stage, agent string) (string, bool) {
+	t, ok := e.adviceOf(s).tickets[agent]
+	return t.text, ok && e.now+ticketMargin < t.until
+}
+
+// advised are the rooms of agents with a ticket for a stage.
+func (p *pass) advised(s *graph.Stage, rooms []*room) []*room {
+	var allowed []*room
+	for _, m := range rooms {
+		if _, ok := p.engine.ticketFor(s, m.agent.record.Id); ok {
+			allowed = append(allowed, m)
+		}
+	}
+	return allowed
+}
+
+// askAdvice asks about agents that could take what is left of a stage: those
+// that weren't asked about yet, and those allowed whose tickets have run out.
+// The service takes one call of ours at a time.
+func (p *pass) askAdvice(s *graph.Stage, rooms []*room) {
+	e := p.engine
+	if e.advising || e.now < e.nextAdvice || e.options.Advise == nil {
+		return
+	}
+	a := e.adviceOf(s)
+	type candidate struct {
+		id   string
+		cost float64
+	}
+	var candidates []candidate
+	for _, m := range rooms {
+		id := m.agent.record.Id
+		_, allowed := a.tickets[id]
+		if _, holds := e.ticketFor(s, id); holds || (a.asked[id] && !allowed) || !m.fits(s) {
+			continue
+		}
+		candidates = append(candidates, candidate{id, p.cost(s.Tasks[0], m)})
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	sort.Slice(candidates, func(i, k int) bool { return candidates[i].cost < candidates[k].cost })
+	r := AdviceRequest{Job: s.Job.ID, Occurrence: s.Occurrence, Step: s.Index, Term: e.term}
+	for _, c := range candidates[:min(len(candidates), maxAdvised)] {
+		r.Agents = append(r.Agents, c.id)
+	}
+	policy := e.policyOf(s)
+	r.Timeout = policy.GetDecide().AsDuration() + time.Duration(len(r.Agents))*policy.GetInterval().AsDuration() + time.Second
+	e.advising = true
+	e.options.Advise(r)
+}
+
+// Advised takes an answer of the service.
+func (e *Engine) Advised(now time.Duration, a AdviceAnswer) {
+	e.now = now
+	if a.Request.Term != e.term || e.term == 0 {
+		return
+	}
+	e.advising, e.dirty = false, true
+	t := e.graph.Find(&wire.RunId{Job: a.Request.Job, Occurrence: a.Request.Occurrence, Step: a.Request.Step})
+	if !a.Answered {
+		e.nextAdvice = now + adviceRetry
+		e.options.Logger.Info("no advice", "job", a.Request.Job, "step", a.Request.Step, "agents", len(a.Request.Agents), "detail", a.Detail)
+		return
+	}
+	e.options.Logger.Info("advice", "job", a.Request.Job, "step", a.Request.Step, "agents", len(a.Request.Agents), "allowed", len(a.Tickets), "valid", a.Valid)
+	if t == nil {
+		return
+	}
+	known := e.adviceOf(t.Stage)
+	for _, id := range a.Request.Agents {
+		known.asked[id] = true
+	}
+	for id, text := range a.Tickets {
+		known.tickets[id] = ticket{text, now + a.Valid}
+	}
+}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -35,6 +35,9 @@
 		// Send hands an order over without blocking. Its answer comes back
 		// through Answered.
 		Send func(Order)
+		// Advise asks the outside service without blocking; its answer comes back
+		// through Advised. Nil where there is none.
+		Advise func(AdviceRequest)
 		// Wall is the time of day, for work that is due at one.
 		Wall func() time.Time
 		// Boot is a clock that also counts suspension; package boot's when nil.
@@ -66,6 +69,9 @@
 		// nextTend and nextPass are when agents and runs are looked after, and
 		// tasks placed, at the earliest; passTook is what the last pass took.
 		nextTend, nextPass time.Duration
+		advice             map[*graph.Stage]*advice
+		advising           bool // a call is under way
+		nextAdvice         time.Duration
 		// readySince is when each stage was first seen with tasks to place.
 		readySince map[*graph.Stage]time.Duration
 	}
@@ -102,6 +108,7 @@
 	e.agents = map[string]*agent{}
 	e.runs = map[*graph.Task]*run{}
 	e.readySince = map[*graph.Stage]time.Duration{}
+	e.advice, e.advising = map[*graph.Stage]*advice{}, false
 	e.placing = false
 	e.dirty = true
 }
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -130,6 +130,13 @@
 	if o.Run.Run <= r.closed[key] {
 		return drive.RefusedOld
 	}
+	if r.sim.advice {
+		wanted := fmt.Sprintf("%s.%d.%d/%s", o.Run.Job, o.Run.Occurrence, o.Run.Step, r.record.Id)
+		if until, ok := r.sim.issued[o.Ticket]; o.Ticket != wanted || !ok || r.sim.now > until {
+			r.sim.tickets++
+			return drive.RefusedTicket
+		}
+	}
 	step := r.sim.steps[fmt.Sprintf("%s.%d", o.Run.Job, o.Run.Step)]
 	if r.committed()+step.CpuMillis > r.record.CpuMillis {
 		r.sim.check(r.sim.guarded, "%s is committed beyond its room by %s", r.record.Id, key)
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -27,6 +27,8 @@
 		Run *wire.RunId
 		// Payload and Checkpoint belong to a start.
 		Payload, Checkpoint string
+		// Ticket allows a start, where the queue needs one.
+		Ticket string
 		// Deadline is when the lease of all that runs there ends, on the
 		// agent's clock; 0 leaves it as it is.
 		Deadline time.Duration
@@ -97,6 +99,8 @@
 	RefusedLate
 	// RefusedFence: a leader with a higher fence was there.
 	RefusedFence
+	// RefusedTicket: the start's ticket doesn't hold.
+	RefusedTicket
 	// RefusedOther: the agent won't take the order, for another reason.
 	RefusedOther
 	// OtherIncarnation: another incarnation lives at the address.
@@ -107,7 +111,7 @@
 
 var verdictNames = [...]string{
 	NoAnswer: "no answer", Unsent: "not sent", Accepted: "accepted", RefusedRoom: "refused: room",
-	RefusedOld: "refused: run is old", RefusedLate: "refused: late", RefusedFence: "refused: fence",
+	RefusedOld: "refused: run is old", RefusedLate: "refused: late", RefusedFence: "refused: fence", RefusedTicket: "refused: ticket",
 	RefusedOther: "refused", OtherIncarnation: "other incarnation",
 }
 
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -132,6 +132,7 @@
 	for s := range e.readySince {
 		if s.Job.Ended() {
 			delete(e.readySince, s)
+			delete(e.advice, s)
 		}
 	}
 }
@@ -371,11 +372,21 @@
 
 func (p *pass) placeStage(s *graph.Stage) {
 	rooms := p.rooms[p.engine.poolOf(s.Job)]
+	if p.engine.policyOf(s) != nil {
+		all := rooms
+		rooms = p.advised(s, all)
+		defer func() {
+			if p.leftOf(s) {
+				p.askAdvice(s, all)
+			}
+		}()
+	}
 	if s.Step.Gang {
 		p.placeGang(s, rooms)
 		return
 	}
-	if p.knownFull(s) {
+	advised := p.engine.policyOf(s) != nil
+	if !advised && p.knownFull(s) {
 		return
 	}
 	for _, t := range s.Tasks {
@@ -387,7 +398,7 @@
 		}
 		m := p.choose(t, rooms)
 		if m == nil {
-			if s.Step.SpreadLimit == 0 && s.Step.RequiredLabel == "" {
+			if s.Step.SpreadLimit == 0 && s.Step.RequiredLabel == "" && !advised {
 				p.noteFull(s)
 				return // the others are like it
 			}
@@ -397,6 +408,17 @@
 	}
 }
 
+// leftOf tells whether this pass left tasks of a stage unplaced.
+func (p *pass) leftOf(s *graph.Stage) bool {
+	placed := 0
+	for _, r := range p.placed {
+		if r.Id.Job == s.Job.ID && r.Id.Occurrence == s.Occurrence && r.Id.Step == s.Index {
+			placed++
+		}
+	}
+	return placed < s.Unplaced
+}
+
 func (p *pass) fullKey(s *graph.Stage) fullKey {
 	return fullKey{p.engine.poolOf(s.Job), s.Step.Image, s.Step.Opportunistic, s.Standing()}
 }
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -161,6 +161,14 @@
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 		return
 	}
+	ticket := ""
+	if e.policyOf(r.task.Stage) != nil {
+		var holds bool
+		if ticket, holds = e.ticketFor(r.task.Stage, r.agent.record.Id); !holds {
+			e.startWithoutTicket(r)
+			return
+		}
+	}
 	if r.pace == unknownPace {
 		r.pace = fullPace
 	}
@@ -168,10 +176,20 @@
 	r.sends++
 	e.send(r.agent, Order{
 		Kind: Start, Run: r.id(), Payload: r.task.Stage.Job.Spec.Payload,
-		Checkpoint: r.task.Checkpoint, Deadline: deadline,
+		Checkpoint: r.task.Checkpoint, Deadline: deadline, Ticket: ticket,
 	})
 }
 
+// startWithoutTicket gives up a run whose ticket has run out, or isn't known to
+// this leader: at once if no start was sent, else after a stop has closed it.
+func (e *Engine) startWithoutTicket(r *run) {
+	if r.sends == r.answers {
+		e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "no ticket that holds")
+		return
+	}
+	r.stopReason = "its ticket has run out before a start was answered"
+}
+
 func (e *Engine) runOf(r *agent, id *wire.RunId) *run {
 	t := e.graph.Find(id)
 	known := e.runs[t]
@@ -207,6 +225,10 @@
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 	case RefusedOld:
 		r.phase, r.closedAt = phaseClosed, e.now
+	case RefusedTicket:
+		delete(e.adviceOf(r.task.Stage).tickets, at.record.Id)
+		delete(e.adviceOf(r.task.Stage).asked, at.record.Id)
+		e.startRefused(r, a)
 	default:
 		at.restUntil = e.now + refusalPause
 		e.startRefused(r, a)
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -12,7 +12,9 @@
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"sycamoredeck.example/internal/sched/drive"
@@ -31,6 +33,7 @@
 // faults are probabilities; those without another unit are for each tick.
 type faults struct {
 	late, lost     float64 // of each order
+	advice         bool    // agents must be allowed by an outside service
 	fail           float64 // of each run
 	crash, cut     float64
 	leader, cancel float64
@@ -57,6 +60,9 @@
 		random     *rand.Rand
 		faults     faults
 		guarded    bool
+		advice     bool
+		tickets    int                      // starts refused for their ticket
+		issued     map[string]time.Duration // tickets and until when they hold
 		now        time.Duration
 		events     []event
 		seq        int
@@ -84,11 +90,16 @@
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 11)), faults: f, guarded: guarded, graph: graph.New(),
 		agents: map[string]*modelAgent{}, steps: map[string]*wire.Step{}, doneNoted: map[string]bool{},
-		failures: map[string]int{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
+		failures: map[string]int{}, issued: map[string]time.Duration{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
 	}
+	queue := &wire.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 2}
+	if f.advice {
+		queue.Advice = &wire.AdvicePolicy{Decide: durationpb.New(50 * time.Millisecond), Interval: durationpb.New(5 * time.Millisecond)}
+	}
+	s.advice = f.advice
 	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_PutCatalog{PutCatalog: &wire.Catalog{
 		Version: 1,
-		Queues:  []*wire.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 2}},
+		Queues:  []*wire.Queue{queue},
 		Pools:   []*wire.WorkerPool{{Name: "p", Guarded: guarded}},
 	}}})
 	for i := range size {
@@ -138,12 +149,35 @@
 		},
 		Leads:  func() (uint64, bool) { return term, s.leads && s.term == term },
 		Send:   s.carry,
+		Advise: s.adviseOn,
 		Boot:   func() time.Duration { return s.now },
 		Wall:   func() time.Time { return time.Unix(0, 0).Add(s.now) },
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 	})
 }
 
+// adviseOn answers like the outside service: the same agents for a step always,
+// with tickets that hold for three seconds.
+func (s *sim) adviseOn(r drive.AdviceRequest) {
+	engine := s.engine
+	if s.chance(s.faults.lost) {
+		s.after(r.Timeout, func() { engine.Advised(s.now, drive.AdviceAnswer{Request: r}) })
+		return
+	}
+	s.after(50*time.Millisecond+time.Duration(len(r.Agents))*5*time.Millisecond, func() {
+		answer := drive.AdviceAnswer{Request: r, Answered: true, Valid: 3 * time.Second, Tickets: map[string]string{}}
+		for _, agent := range r.Agents {
+			key := fmt.Sprintf("%s.%d.%d/%s", r.Job, r.Occurrence, r.Step, agent)
+			if agent != "r-1" && xxhash.Sum64String(key)%3 == 0 {
+				continue
+			}
+			answer.Tickets[agent] = key
+			s.issued[key] = s.now + answer.Valid
+		}
+		engine.Advised(s.now, answer)
+	})
+}
+
 // depose ends a leadership. What it proposed may have been committed or not.
 func (s *sim) depose() {
 	s.leads = false
