--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -18,7 +18,7 @@
 	goalShare = 0.85
 	// easeShare of the target is what is expected at most where a slowed run
 	// is let go again.
-	easeShare = 0.6
+	easeShare = 0.8
 	// slowPause lies between two changes of pace on an agent: the time until
 	// one shows in the tails.
 	slowPause = 700 * time.Millisecond
