--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -56,7 +56,8 @@
 		Graph: c.machine.Graph(), Propose: c.node.Propose,
 		Leads: c.drives, MayOrder: c.node.RightToLead, Send: c.carry, Wall: time.Now,
 		Lease: c.settings.AgentLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
-		Advise: c.advise, Logger: c.logger,
+		OtherRackFactor: c.settings.OtherRackFactor,
+		Advise:          c.advise, Logger: c.logger,
 	})
 	c.machine.Graph().Finished = c.jobFinished
 	c.background.Go(c.forgetLoop)
--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -113,3 +113,40 @@
 		}
 	}
 }
+
+// Symptom: a standing task whose agent was lost stays away for as long as there
+// is much ordinary work. Sequence: the other agents are full of short tasks that
+// end one by one; each gap is filled at once by the next short task, and none is
+// ever as large as the standing task needs. Cause: that it goes first doesn't
+// help it while no gap may grow.
+func TestStandingTaskComesBackUnderLoad(t *testing.T) {
+	s := newSim(3, 2, true, faults{})
+	s.submitSpec(&wire.Step{Count: 1, CpuMillis: 6000, EstimateMs: 500, Standing: true})
+	s.run(3*time.Second, 0)
+	var home string
+	for address, r := range s.agents {
+		if len(r.runs) > 0 {
+			home = address
+		}
+	}
+	flood := func(length time.Duration) {
+		for end := s.now + length; s.now < end; {
+			s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1500, EstimateMs: uint64(300 + s.random.IntN(500))})
+			s.run(40*time.Millisecond, 0)
+		}
+	}
+	flood(2 * time.Second)
+	lost := s.agents[home]
+	delete(s.agents, home)
+	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: lost.record.Id}}})
+	flood(3 * time.Second)
+	running := 0
+	for _, r := range s.agents {
+		for _, run := range r.runs {
+			if run.step.Standing {
+				running++
+			}
+		}
+	}
+	assert.Equal(t, running, 1)
+}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -45,7 +45,10 @@
 		// Lease is how long an agent may run on without hearing from the
 		// leader, StopGrace how long it takes at most to stop a run.
 		Lease, StopGrace time.Duration
-		Logger           *slog.Logger
+		// OtherRackFactor is how many times as long a task takes away from the
+		// rack of its data; 1 when below.
+		OtherRackFactor float64
+		Logger          *slog.Logger
 	}
 
 	// Engine drives the agents while this replica leads.
@@ -69,9 +72,11 @@
 		// nextTend and nextPass are when agents and runs are looked after, and
 		// tasks placed, at the earliest; passTook is what the last pass took.
 		nextTend, nextPass time.Duration
-		advice             map[*graph.Stage]*advice
-		advising           bool // a call is under way
-		nextAdvice         time.Duration
+		// clearing is the agent on which room grows for a standing task.
+		clearing   map[*graph.Task]string
+		advice     map[*graph.Stage]*advice
+		advising   bool // a call is under way
+		nextAdvice time.Duration
 		// readySince is when each stage was first seen with tasks to place.
 		readySince map[*graph.Stage]time.Duration
 	}
@@ -98,6 +103,7 @@
 	if options.Boot == nil {
 		options.Boot = boot.Now
 	}
+	options.OtherRackFactor = max(options.OtherRackFactor, 1)
 	e := &Engine{options: options, graph: options.Graph}
 	e.graph.Changed = func() { e.dirty = true }
 	e.forget()
@@ -108,6 +114,7 @@
 	e.agents = map[string]*agent{}
 	e.runs = map[*graph.Task]*run{}
 	e.readySince = map[*graph.Stage]time.Duration{}
+	e.clearing = map[*graph.Task]string{}
 	e.advice, e.advising = map[*graph.Stage]*advice{}, false
 	e.placing = false
 	e.dirty = true
--- /dev/null
+++ b/internal/sched/drive/gang.go
@@ -0,0 +1,73 @@
+// This file defines how gangs are placed.
+
+package drive
+
+import (
+	"sort"
+
+	"sycamoredeck.example/internal/store/graph"
+)
+
+// placeGang places all members or none: some alone would wait for the others
+// in vain. Their runs bear one number.
+func (p *pass) placeGang(s *graph.Stage, rooms []*room) {
+	number := uint32(0)
+	for _, t := range s.Tasks {
+		if t.Agent != "" {
+			return // members of the last run are still to end
+		}
+		number = max(number, t.Run)
+	}
+	if s.Step.SameRack {
+		for _, rack := range racks(rooms) {
+			if p.placeMembers(s, rack, number+1) {
+				return
+			}
+		}
+	}
+	p.placeMembers(s, rooms, number+1)
+}
+
+func racks(rooms []*room) [][]*room {
+	byRack := map[string][]*room{}
+	var names []string
+	for _, m := range rooms {
+		rack := m.agent.record.Rack
+		if byRack[rack] == nil {
+			names = append(names, rack)
+		}
+		byRack[rack] = append(byRack[rack], m)
+	}
+	sort.Strings(names)
+	list := make([][]*room, 0, len(names))
+	for _, name := range names {
+		list = append(list, byRack[name])
+	}
+	return list
+}
+
+func (p *pass) placeMembers(s *graph.Stage, rooms []*room, number uint32) bool {
+	trial := &pass{engine: p.engine, wall: p.wall}
+	copies := make([]*room, len(rooms))
+	for i, m := range rooms {
+		c := *m
+		c.stages = map[*graph.Stage]int{s: m.stages[s]}
+		copies[i] = &c
+	}
+	for _, t := range s.Tasks {
+		m := trial.choose(t, copies)
+		if m == nil {
+			return false
+		}
+		trial.take(t, m, number)
+	}
+	for _, placement := range trial.placed {
+		for _, m := range rooms {
+			if m.agent.record.Id == placement.Agent {
+				m.take(s)
+			}
+		}
+	}
+	p.placed = append(p.placed, trial.placed...)
+	return true
+}
--- /dev/null
+++ b/internal/sched/drive/reserve.go
@@ -0,0 +1,87 @@
+// This file defines how room is kept: for ordinary work against standing tasks
+// that are new, and for standing tasks that have to come back.
+
+package drive
+
+import (
+	"time"
+
+	"sycamoredeck.example/internal/store/graph"
+)
+
+const (
+	// reserveFactor is how much room is kept for ordinary work when standing
+	// tasks come: the most of it that lately ran or waited, and some.
+	reserveFactor = 1.2
+	// needDecay is what is left of a past need after needInterval: half of it
+	// after 14 s, some bursts long.
+	needDecay    = 0.95
+	needInterval = time.Second
+)
+
+// spares tells whether enough room is left for ordinary work if a new standing
+// task is placed. Standing tasks stay; without a reserve they take, one by one,
+// all that others leave for a moment, and short urgent work then waits for as
+// long as they stay.
+func (p *pass) spares(s *graph.Stage, rooms []*room) bool {
+	free := -float64(s.Step.CpuMillis)
+	for _, m := range rooms {
+		free += m.cpu
+	}
+	return free >= p.engine.ordinaryNeed[p.engine.poolOf(s.Job)]*reserveFactor
+}
+
+// noteNeed keeps in mind how many processors ordinary work lately needed at
+// most, running or waiting, by pool.
+func (e *Engine) noteNeed(stages []*graph.Stage) {
+	if e.ordinaryNeed == nil {
+		e.ordinaryNeed = map[string]float64{}
+	}
+	need := map[string]float64{}
+	for _, s := range stages {
+		if !s.Step.Opportunistic && !s.Standing() {
+			need[e.poolOf(s.Job)] += float64(s.Step.CpuMillis) * float64(s.Unplaced)
+		}
+	}
+	for t := range e.runs {
+		if step := t.Stage.Step; !step.Opportunistic && !step.Standing {
+			need[e.poolOf(t.Stage.Job)] += float64(step.CpuMillis)
+		}
+	}
+	for pool, n := range need {
+		e.ordinaryNeed[pool] = max(n, e.ordinaryNeed[pool])
+	}
+	if e.now < e.nextNeed {
+		return
+	}
+	e.nextNeed = e.now + needInterval
+	for pool := range e.ordinaryNeed {
+		e.ordinaryNeed[pool] = max(need[pool], e.ordinaryNeed[pool]*needDecay)
+	}
+}
+
+// keepClear lets room for a standing task that ran before grow on one agent:
+// nothing else is placed there until it fits. Its place is first in each pass,
+// but short tasks would fill every gap before it is large enough. The same agent
+// is kept from pass to pass.
+func (p *pass) keepClear(t *graph.Task, rooms []*room) {
+	var best *room
+	for _, m := range rooms {
+		if m.heldFor != nil || m.cpu+m.ordinary < float64(t.Stage.Step.CpuMillis) {
+			continue
+		}
+		if m.agent.record.Id == p.engine.clearing[t] {
+			best = m
+			break
+		}
+		if best == nil || m.cpu+m.ordinary > best.cpu+best.ordinary {
+			best = m
+		}
+	}
+	if best == nil {
+		delete(p.engine.clearing, t)
+		return
+	}
+	best.heldFor = t.Stage
+	p.engine.clearing[t] = best.agent.record.Id
+}
