--- /dev/null
+++ b/internal/sched/drive/order_test.go
@@ -0,0 +1,136 @@
+// This file defines the tests of how single orders are settled.
+
+package drive_test
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/sched/drive"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+	"sycamoredeck.example/internal/store/state"
+)
+
+// script is an engine whose orders are answered by hand and whose commands are
+// committed at once.
+type script struct {
+	t      *testing.T
+	graph  *graph.Graph
+	engine *drive.Engine
+	now    time.Duration
+	orders []drive.Order
+}
+
+func newScript(t *testing.T) *script {
+	t.Helper()
+	s := &script{t: t, graph: graph.New()}
+	s.engine = drive.New(drive.Options{
+		Graph: s.graph, Lease: modelLease, StopGrace: modelGrace,
+		Propose: func(c *wire.Command, done func(state.Result, error)) {
+			res := s.graph.Apply(time.Unix(0, 0), c.GetWork())
+			done(state.Result{Err: res.Err, Placed: res.Placed}, nil)
+		},
+		Leads:  func() (uint64, bool) { return 1, true },
+		Send:   func(o drive.Order) { s.orders = append(s.orders, o) },
+		Boot:   func() time.Duration { return s.now },
+		Wall:   func() time.Time { return time.Unix(0, 0).Add(s.now) },
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	for _, c := range []*wire.WorkCommand{
+		{Body: &wire.WorkCommand_PutCatalog{PutCatalog: &wire.Catalog{
+			Version: 1, Queues: []*wire.Queue{{Name: "q", Pool: "p"}}, Pools: []*wire.WorkerPool{{Name: "p"}},
+		}}},
+		{Body: &wire.WorkCommand_PutAgent{PutAgent: &wire.Agent{Id: "a", Address: "x", Pool: "p", CpuMillis: 8000, MemoryMb: 8000}}},
+		{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: "j", Queue: "q", Spec: &wire.WorkSpec{
+			Steps: []*wire.Step{{Count: 1, CpuMillis: 1000, EstimateMs: 1000}},
+		}}}},
+	} {
+		assert.NilError(t, s.graph.Apply(time.Unix(0, 0), c).Err)
+	}
+	return s
+}
+
+// next lets time go by until an order of a kind is sent, and takes it.
+func (s *script) next(kind drive.Kind) drive.Order {
+	s.t.Helper()
+	for range 1000 {
+		for i, o := range s.orders {
+			if o.Kind == kind {
+				s.orders = append(s.orders[:i], s.orders[i+1:]...)
+				return o
+			}
+		}
+		s.now += simTick
+		s.engine.Turn(s.now)
+	}
+	s.t.Fatalf("no %v is sent", kind)
+	return drive.Order{}
+}
+
+func (s *script) answer(o drive.Order, v drive.Verdict) {
+	s.engine.Answered(s.now, drive.Answer{Order: o, Verdict: v, ClockKnown: v == drive.Accepted, Clock: s.now})
+}
+
+// task is the only task there is.
+func (s *script) task() *graph.Task { return s.graph.Job("j").Occurrences[0][0].Tasks[0] }
+
+// Symptom: a task runs twice. Sequence: a start has no answer and is on its way
+// still; it is sent again and refused, for want of room; the task is placed
+// elsewhere; the first copy arrives and is carried out. Cause: a refusal speaks
+// for the copy that it answers, not for the others.
+func TestRefusalDoesNotSpeakForACopyUnderWay(t *testing.T) {
+	s := newScript(t)
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	s.answer(s.next(drive.Start), drive.NoAnswer)
+	s.answer(s.next(drive.Start), drive.RefusedRoom)
+	assert.Equal(t, s.task().Agent, "a", "the run is given up while a copy of its start is on its way")
+	s.answer(s.next(drive.Stop), drive.Accepted)
+	s.orders = nil
+	s.engine.Answered(s.now, drive.Answer{Order: drive.Order{Kind: drive.Hold, Agent: &wire.Agent{Id: "a"}, Fence: 1, SentAt: s.now + 1}, Verdict: drive.Accepted})
+	s.now += time.Second
+	s.engine.Turn(s.now)
+	assert.Equal(t, s.next(drive.Start).Run.Run, uint32(2))
+}
+
+// A refusal of the only copy settles the run at once.
+func TestRefusalOfTheOnlyCopySettles(t *testing.T) {
+	s := newScript(t)
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	s.answer(s.next(drive.Start), drive.RefusedRoom)
+	assert.Equal(t, s.task().Agent, "")
+	assert.Equal(t, s.next(drive.Start).Run.Run, uint32(2))
+}
+
+// Symptom: work is placed on an agent that an earlier leader still orders.
+// Cause: the agent hasn't seen this leader's fence yet.
+func TestNoStartBeforeTheFenceWasSeen(t *testing.T) {
+	s := newScript(t)
+	s.next(drive.Hold)
+	for range 100 {
+		s.now += simTick
+		s.engine.Turn(s.now)
+	}
+	for _, o := range s.orders {
+		assert.Assert(t, o.Kind != drive.Start)
+	}
+	assert.Equal(t, s.task().Run, uint32(0))
+}
+
+// A run that was there and isn't listed any more, without an end, is settled so
+// that its task doesn't wait for ever.
+func TestVanishedRunIsSettled(t *testing.T) {
+	s := newScript(t)
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	s.answer(s.next(drive.Start), drive.Accepted)
+	s.now += time.Second
+	s.answer(s.next(drive.Hold), drive.Accepted) // asked before the start was answered: says nothing
+	assert.Equal(t, s.task().Agent, "a")
+	s.now += time.Second
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	assert.Equal(t, s.task().Agent, "")
+}
