--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"sycamoredeck.example/internal/base/boot"
@@ -256,6 +257,9 @@
 			return
 		}
 		answer.State = j.State
+		if r.WithJob {
+			answer.Job = proto.Clone(j.Record()).(*wire.WorkJob)
+		}
 	})
 	if err != nil {
 		return nil, err
@@ -286,6 +290,9 @@
 // PutCatalog commits a catalog. One that isn't newer is acknowledged and
 // changes nothing: it is a resend, or was overtaken.
 func (s *workService) PutCatalog(ctx context.Context, r *wire.PutCatalogRequest) (*wire.PutCatalogResponse, error) {
+	if r.Catalog == nil {
+		return nil, status.Error(codes.InvalidArgument, "Catalog is missing")
+	}
 	if err := graph.CheckCatalog(r.Catalog); err != nil {
 		s.logger.Info("catalog refused", "version", r.Catalog.Version, "error", err)
 		return &wire.PutCatalogResponse{Answer: wire.WorkAnswer_WORK_ANSWER_INVALID, Reason: err.Error()}, nil
--- a/internal/run/entry/desk.go
+++ b/internal/run/entry/desk.go
@@ -21,6 +21,39 @@
 	workSeconds    = metrics.NewHistogram("sycamoredeck_work_request_seconds")
 )
 
+// workService serves jobs of steps by gRPC, as the desk does for the platform.
+type workService struct {
+	wire.UnimplementedWorkServiceServer
+	desk desk.Desk
+}
+
+var _ wire.WorkServiceServer = (*workService)(nil)
+
+// SubmitWork has the leader take a job.
+func (s *workService) SubmitWork(ctx context.Context, r *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error) {
+	return s.desk.Submit(ctx, r)
+}
+
+// InspectWork asks the leader about a job or a queue.
+func (s *workService) InspectWork(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
+	return s.desk.Inspect(ctx, r)
+}
+
+// CancelWork has the leader cancel a job.
+func (s *workService) CancelWork(ctx context.Context, r *wire.CancelWorkRequest) (*wire.CancelWorkResponse, error) {
+	return s.desk.Cancel(ctx, r)
+}
+
+// PutCatalog has the leader put a catalog in force.
+func (s *workService) PutCatalog(ctx context.Context, r *wire.PutCatalogRequest) (*wire.PutCatalogResponse, error) {
+	return s.desk.PutCatalog(ctx, r)
+}
+
+// GetCatalog asks the leader for the catalog in force.
+func (s *workService) GetCatalog(ctx context.Context, r *wire.GetCatalogRequest) (*wire.GetCatalogResponse, error) {
+	return s.desk.GetCatalog(ctx, r)
+}
+
 // desk has the leader deal with clients of the platform, and the next leader
 // while it changes. Each change that a client asks for, and each request that
 // isn't answered, gives a log line.
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -155,6 +155,7 @@
 	wire.RegisterEntryServiceServer(e.server, &entryService{Entry: e})
 	wire.RegisterJobServiceServer(e.server, &jobService{Entry: e})
 	wire.RegisterOperatorServiceServer(e.server, &operatorService{Entry: e})
+	wire.RegisterWorkServiceServer(e.server, &workService{desk: e.desk()})
 }
 
 // entriesChanged divides the slots anew, and again once the change has
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -28,6 +28,10 @@
 	return image
 }
 
+// Record returns a job as a snapshot holds it: with its tasks that were placed.
+// It shares the spec with the state.
+func (j *Job) Record() *wire.WorkJob { return saveJob(j) }
+
 func saveJob(j *Job) *wire.WorkJob {
 	saved := &wire.WorkJob{
 		Id: j.ID, Queue: j.Queue, Pool: j.Pool, Spec: j.Spec, State: j.State, Sequence: j.Sequence,
