--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -85,6 +85,9 @@
 		seenMembers *wire.Membership
 		// membershipAt is when the membership was last looked after.
 		membershipAt time.Time
+		// drivenTerm is the last term in which driving agents could begin; of
+		// the loop.
+		drivenTerm uint64
 		// waking is set while a turn is on order; of the loop.
 		waking     bool
 		closing    chan struct{}
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -87,11 +87,18 @@
 	})
 }
 
-// drives tells, on the loop, the term in which this replica may drive agents.
+// drives tells, on the loop, the term in which this replica may drive agents. It
+// begins once enough replicas vote. While a lost one is being replaced there is
+// one too few for a moment; driving goes on, or all that is known of agents
+// would have to be asked anew.
 func (c *Control) drives() (uint64, bool) {
 	_, leads := c.node.Leads()
 	core := c.node.Core()
-	return core.Status().Term, leads && c.platform.Carry != nil && c.enoughVoters(core.Members())
+	term := core.Status().Term
+	if c.platform.Carry != nil && c.enoughVoters(core.Members()) {
+		c.drivenTerm = term
+	}
+	return term, leads && c.drivenTerm == term
 }
 
 // carry has an order taken to its agent. The right to lead is checked last:
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -106,6 +106,7 @@
 	r.dropping = true
 	agentsDropped.Inc()
 	e.options.Logger.Info("agent given up", "agent", r.record.Id, "address", r.record.Address, "reason", reason, "runs", len(r.runs), "silent", e.now-r.answered)
+	e.saveProgress(r)
 	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: r.record.Id, Reason: reason}}},
 		func(_ state.Result, err error) {
 			if err != nil {
@@ -114,6 +115,21 @@
 		})
 }
 
+// saveProgress ends the runs of an agent that is surely gone with the latest
+// checkpoints it told, so that they resume from there.
+func (e *Engine) saveProgress(at *agent) {
+	var ends []*wire.RunEnd
+	for _, r := range at.runs {
+		if r.checkpoint != "" && !r.ending {
+			r.ending = true
+			ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: at.record.Id, Outcome: wire.RunOutcome_RUN_OUTCOME_LOST, Checkpoint: r.checkpoint})
+		}
+	}
+	if len(ends) > 0 {
+		e.commitEnds(ends, nil)
+	}
+}
+
 func (e *Engine) holdAnswered(r *agent, a Answer) {
 	r.holding = false
 	if a.Verdict != Accepted {
--- a/internal/sched/drive/order_test.go
+++ b/internal/sched/drive/order_test.go
@@ -134,3 +134,17 @@
 	s.answer(s.next(drive.Hold), drive.Accepted)
 	assert.Equal(t, s.task().Agent, "")
 }
+
+// Symptom: work of a lost agent begins from nothing though it had saved its
+// progress. Cause: only ends brought checkpoints, and a lost agent lists none.
+func TestLostAgentsWorkResumes(t *testing.T) {
+	s := newScript(t)
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	s.answer(s.next(drive.Start), drive.Accepted)
+	s.engine.Answered(s.now, drive.Answer{Order: s.next(drive.Hold), Verdict: drive.Accepted, Running: []drive.RunStatus{
+		{Run: s.task().ID(), Checkpoint: "saved-7", Percent: 50},
+	}})
+	s.answer(s.next(drive.Hold), drive.OtherIncarnation)
+	assert.Equal(t, s.task().Agent, "")
+	assert.Equal(t, s.task().Checkpoint, "saved-7")
+}
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -61,6 +61,7 @@
 	stopping   bool // a stop is on its way
 	nextStop   time.Duration
 
+	checkpoint string // the latest that the agent told
 	percent    int
 	progressAt time.Duration
 	usage      int
@@ -83,6 +84,9 @@
 	if s.Percent != r.percent {
 		r.percent, r.progressAt = s.Percent, now
 	}
+	if s.Checkpoint != "" {
+		r.checkpoint = s.Checkpoint
+	}
 	r.usage, r.usageAt = s.Usage, now
 	r.confirmedAt = now
 }
