--- a/internal/cli/cmds/client.go
+++ b/internal/cli/cmds/client.go
@@ -109,3 +109,16 @@
 	_, err = fmt.Fprintln(cl.out, string(data))
 	return err
 }
+
+// readMessage reads a message in JSON from a file; - is standard input. All that
+// can be wrong is a mistake of whoever gave the command.
+func readMessage(path string, into proto.Message) error {
+	data, err := payloadOf(nil, path)
+	if err != nil {
+		return usageError{err}
+	}
+	if err := protojson.Unmarshal(data, into); err != nil {
+		return usageError{fmt.Errorf("%s: %w", path, err)}
+	}
+	return nil
+}
--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -25,13 +25,9 @@
 }
 
 func readConfiguration(file string) (*wire.Configuration, error) {
-	data, err := os.ReadFile(file)
-	if err != nil {
-		return nil, usageError{err}
-	}
 	c := &wire.Configuration{}
-	if err := protojson.Unmarshal(data, c); err != nil {
-		return nil, usageError{fmt.Errorf("%s: %w", file, err)}
+	if err := readMessage(file, c); err != nil {
+		return nil, err
 	}
 	if err := rules.Check(c); err != nil {
 		return nil, usageError{fmt.Errorf("%s: %w", file, err)}
--- a/internal/cli/cmds/work.go
+++ b/internal/cli/cmds/work.go
@@ -6,12 +6,10 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"strings"
 
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc"
-	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"sycamoredeck.example/internal/schema/wire"
@@ -34,7 +32,7 @@
 	return p.clientCommand(c, func(ctx context.Context, cl *client, conn *grpc.ClientConn, args []string) error {
 		spec := &wire.WorkSpec{}
 		if err := readMessage(args[2], spec); err != nil {
-			return usageError{err}
+			return err
 		}
 		r, err := wire.NewWorkServiceClient(conn).SubmitWork(ctx, &wire.SubmitWorkRequest{Target: targetOf(args), Spec: spec})
 		if err != nil {
@@ -87,7 +85,7 @@
 	return p.clientCommand(c, func(ctx context.Context, cl *client, conn *grpc.ClientConn, args []string) error {
 		catalog := &wire.Catalog{}
 		if err := readMessage(args[0], catalog); err != nil {
-			return usageError{err}
+			return err
 		}
 		r, err := wire.NewWorkServiceClient(conn).PutCatalog(ctx, &wire.PutCatalogRequest{Catalog: catalog})
 		if err != nil {
@@ -101,24 +99,6 @@
 	return &wire.WorkTarget{Host: args[0], Path: args[1]}
 }
 
-// readMessage reads a message in JSON from a file; - is standard input.
-func readMessage(path string, into proto.Message) error {
-	var data []byte
-	var err error
-	if path == "-" {
-		data, err = io.ReadAll(os.Stdin)
-	} else {
-		data, err = os.ReadFile(path)
-	}
-	if err != nil {
-		return err
-	}
-	if err := protojson.Unmarshal(data, into); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	return nil
-}
-
 // printAnswer prints a message, or makes an error of an answer that refuses.
 func (cl *client) printAnswer(m proto.Message, answer wire.WorkAnswer, reason string, text func(io.Writer)) error {
 	if answer == wire.WorkAnswer_WORK_ANSWER_DONE {
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -187,9 +187,6 @@
 
 // SubmitWork commits a job.
 func (s *workService) SubmitWork(ctx context.Context, r *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error) {
-	if err := s.ready(); err != nil {
-		return nil, err
-	}
 	queue, id, err := s.find(ctx, r.Target)
 	if err != nil {
 		return nil, err
@@ -215,8 +212,12 @@
 	return answer, nil
 }
 
-// find tells which queue a target names, and the rest of its path.
+// find tells which queue a target names, and the rest of its path; an empty
+// queue is none.
 func (s *workService) find(ctx context.Context, target *wire.WorkTarget) (queue, rest string, err error) {
+	if err := s.ready(); err != nil {
+		return "", "", err
+	}
 	err = s.read(ctx, func() {
 		q, r := s.machine.Graph().Match(target.GetHost(), target.GetPath())
 		if q != nil {
@@ -276,9 +277,6 @@
 
 // CancelWork commits a job's cancellation. Its runs are stopped after that.
 func (s *workService) CancelWork(ctx context.Context, r *wire.CancelWorkRequest) (*wire.CancelWorkResponse, error) {
-	if err := s.ready(); err != nil {
-		return nil, err
-	}
 	queue, id, err := s.find(ctx, r.Target)
 	if err != nil {
 		return nil, err
@@ -286,7 +284,7 @@
 	if queue == "" {
 		return &wire.CancelWorkResponse{Answer: wire.WorkAnswer_WORK_ANSWER_UNKNOWN_QUEUE}, nil
 	}
-	result, err := s.commit(ctx, &wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: id}}})
+	result, err := s.commit(ctx, &wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: id, Queue: queue}}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -365,7 +365,7 @@
 	}
 	if len(s.jobs) > 0 && s.chance(s.faults.cancel) {
 		id := s.jobs[s.random.IntN(len(s.jobs))]
-		s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: id}}})
+		s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: id, Queue: "q"}}})
 		if s.graph.Job(id).State == wire.WorkState_WORK_STATE_CANCELLED && s.cancelled[id] == 0 {
 			s.cancelled[id] = s.now
 		}
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -140,7 +140,7 @@
 // cancel ends a job. Its runs are stopped by the leader.
 func (g *Graph) cancel(at time.Time, c *wire.CancelWork) error {
 	j := g.jobs[c.Job]
-	if j == nil {
+	if j == nil || j.Queue != c.Queue {
 		return ErrUnknownJob
 	}
 	g.finish(at, j, wire.WorkState_WORK_STATE_CANCELLED)
--- a/internal/store/graph/graph_test.go
+++ b/internal/store/graph/graph_test.go
@@ -223,6 +223,19 @@
 	}
 }
 
+// Symptom: a caller cancels another account's job. Cause: the job was looked up
+// by its id alone, whatever queue the request was addressed to.
+func TestCancelNamesTheQueue(t *testing.T) {
+	g := prepared(t, &wire.Step{Count: 1})
+	cancel := func(queue string) error {
+		return g.Apply(noon, &wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: jobID, Queue: queue}}}).Err
+	}
+	assert.ErrorIs(t, cancel("deep"), ErrUnknownJob)
+	assertState(t, g, wire.WorkState_WORK_STATE_QUEUED, 1)
+	assert.NilError(t, cancel("q"))
+	assertState(t, g, wire.WorkState_WORK_STATE_CANCELLED, 0)
+}
+
 func TestSubmitIsIdempotent(t *testing.T) {
 	g := prepared(t, &wire.Step{Count: 1})
 	assert.NilError(t, g.Apply(noon, submitCommand(jobID, &wire.Step{Count: 1})).Err)
@@ -314,7 +327,7 @@
 		c.GetSubmit().Spec.Occurrences = uint32(random.IntN(3))
 		return c
 	case 4:
-		return &wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: job}}}
+		return &wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: job, Queue: "q"}}}
 	case 5, 6, 7, 8:
 		return placeCommand(agent, id)
 	default:
