--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -69,6 +69,7 @@
 		// ordinaryNeed is in thousandths of a processor, by pool.
 		ordinaryNeed map[string]float64
 		nextNeed     time.Duration
+		nextLook     time.Duration
 		// nextTend and nextPass are when agents and runs are looked after, and
 		// tasks placed, at the earliest; passTook is what the last pass took.
 		nextTend, nextPass time.Duration
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -216,6 +216,10 @@
 // noteBeside adds a newly placed task to what is expected of the tails there.
 func (p *pass) noteBeside(s *graph.Stage, m *room) {
 	step := s.Step
+	if step.TailTargetMs == 0 && !step.Opportunistic {
+		return
+	}
+	p.engine.expectTails(m)
 	if step.TailTargetMs > 0 {
 		target := float64(step.TailTargetMs)
 		m.served = append(m.served, served{image: step.Image, expected: logOf(target * usualQuiet), limit: logOf(target * goalShare)})
--- a/internal/sched/drive/reserve.go
+++ b/internal/sched/drive/reserve.go
@@ -17,6 +17,8 @@
 	// after 14 s, some bursts long.
 	needDecay    = 0.95
 	needInterval = time.Second
+	// needLook is how often the need is worked out.
+	needLook = 50 * time.Millisecond
 )
 
 // spares tells whether enough room is left for ordinary work if a new standing
@@ -34,6 +36,10 @@
 // noteNeed keeps in mind how many processors ordinary work lately needed at
 // most, running or waiting, by pool.
 func (e *Engine) noteNeed(stages []*graph.Stage) {
+	if e.now < e.nextLook {
+		return
+	}
+	e.nextLook = e.now + needLook
 	if e.ordinaryNeed == nil {
 		e.ordinaryNeed = map[string]float64{}
 	}
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -27,7 +27,10 @@
 		standing int
 		images   map[string]int // standing tasks by image
 		served   []served
-		stages   map[*graph.Stage]int
+		// tailsKnown tells that served is worked out; it is only where a task
+		// that might disturb others could go.
+		tailsKnown bool
+		stages     map[*graph.Stage]int
 		// ordinary is the cpu of ordinary tasks there, which end before long.
 		ordinary float64
 		// heldFor is the stage that this room is kept clear for, or nil.
@@ -56,7 +59,6 @@
 			agent: r, cpu: float64(c.CpuMillis), memory: float64(c.MemoryMb), accel: float64(c.Accelerators),
 			idle: float64(c.CpuMillis), capacity: float64(c.CpuMillis), stages: map[*graph.Stage]int{}, images: map[string]int{},
 		}
-		e.expectTails(m)
 		for t := range r.runs {
 			m.take(t.Stage)
 		}
@@ -71,6 +73,10 @@
 // expectTails works out what tails the standing tasks on an agent will have
 // with all that is placed beside them at full pace.
 func (e *Engine) expectTails(m *room) {
+	if m.tailsKnown {
+		return
+	}
+	m.tailsKnown = true
 	beside := load{}
 	for t, r := range m.agent.runs {
 		if t.Stage.Step.Opportunistic && r.stopReason == "" {
@@ -94,6 +100,7 @@
 // disturbs is how much a task would add to the tails of the standing tasks on
 // an agent, and whether all of them are expected to stay below their limits.
 func (p *pass) disturbs(s *graph.Stage, m *room) (adds float64, bearable bool) {
+	p.engine.expectTails(m)
 	share := m.agent.share(float64(s.Step.CpuMillis) * usualUse)
 	bearable = true
 	for _, v := range m.served {
