--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -59,58 +59,58 @@
 }
 
 func (e *Engine) newAgent(registered *graph.Agent) *agent {
-	r := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now}
-	e.agents[registered.Record.Id] = r
-	return r
+	at := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now}
+	e.agents[registered.Record.Id] = at
+	return at
 }
 
 // suspect tells whether the agent may be gone or cut off.
-func (e *Engine) suspect(r *agent) bool {
-	return r.failed > 0 || (r.holding && e.now > r.holdSince+r.holdFor+suspectAfter)
+func (e *Engine) suspect(at *agent) bool {
+	return at.failed > 0 || (at.holding && e.now > at.holdSince+at.holdFor+suspectAfter)
 }
 
 // usable tells whether new work may be placed there.
-func (e *Engine) usable(r *agent) bool {
-	return r.synced && !r.record.Leaving && !r.dropping && !e.suspect(r) && e.now >= r.restUntil
+func (e *Engine) usable(at *agent) bool {
+	return at.synced && !at.record.Leaving && !at.dropping && !e.suspect(at) && e.now >= at.restUntil
 }
 
 // tendAgent renews the lease, and gives up an agent whose lease has run out.
-func (e *Engine) tendAgent(r *agent) {
-	if r.dropping {
+func (e *Engine) tendAgent(at *agent) {
+	if at.dropping {
 		return
 	}
-	if r.failed > 0 && e.now-r.answered > e.options.Lease && r.clock.lapsed(e.now, e.since, e.options.Lease) {
-		e.dropAgent(r, "silent until its lease had surely run out")
+	if at.failed > 0 && e.now-at.answered > e.options.Lease && at.clock.lapsed(e.now, e.since, e.options.Lease) {
+		e.dropAgent(at, "silent until its lease had surely run out")
 		return
 	}
-	if r.holding || r.ending || e.now < r.nextHold {
+	if at.holding || at.ending || e.now < at.nextHold {
 		return
 	}
-	r.holding, r.holdSince, r.holdFor = true, e.now, 0
-	if r.synced {
-		r.holdFor = holdWait
-		if r.standing {
-			r.holdFor = max(watchWait, time.Duration(len(e.agents))*time.Second/maxLooks)
+	at.holding, at.holdSince, at.holdFor = true, e.now, 0
+	if at.synced {
+		at.holdFor = holdWait
+		if at.standing {
+			at.holdFor = min(max(watchWait, time.Duration(len(e.agents))*time.Second/maxLooks), holdWait)
 		}
 	}
-	e.send(r, Order{
-		Kind: Hold, Deadline: r.clock.grant(e.now, e.options.Lease),
-		LastSeen: r.lastSeen, Wait: r.holdFor,
+	e.send(at, Order{
+		Kind: Hold, Deadline: at.clock.grant(e.now, e.options.Lease),
+		LastSeen: at.lastSeen, Wait: at.holdFor,
 	})
 }
 
-func (e *Engine) dropAgent(r *agent, reason string) {
-	if r.dropping {
+func (e *Engine) dropAgent(at *agent, reason string) {
+	if at.dropping {
 		return
 	}
-	r.dropping = true
+	at.dropping = true
 	agentsDropped.Inc()
-	e.options.Logger.Info("agent given up", "agent", r.record.Id, "address", r.record.Address, "reason", reason, "runs", len(r.runs), "silent", e.now-r.answered)
-	e.saveProgress(r)
-	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: r.record.Id, Reason: reason}}},
+	e.options.Logger.Info("agent given up", "agent", at.record.Id, "address", at.record.Address, "reason", reason, "runs", len(at.runs), "silent", e.now-at.answered)
+	e.saveProgress(at)
+	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: at.record.Id, Reason: reason}}},
 		func(_ state.Result, err error) {
 			if err != nil {
-				r.dropping = false
+				at.dropping = false
 			}
 		})
 }
@@ -130,101 +130,101 @@
 	}
 }
 
-func (e *Engine) holdAnswered(r *agent, a Answer) {
-	r.holding = false
+func (e *Engine) holdAnswered(at *agent, a Answer) {
+	at.holding = false
 	if a.Verdict != Accepted {
 		holdsFailed.Inc()
-		if a.Verdict != Unsent || r.failed > 0 || e.now-r.answered > suspectAfter {
-			r.failed++
+		if a.Verdict != Unsent || at.failed > 0 || e.now-at.answered > suspectAfter {
+			at.failed++
 		}
-		if r.failed == 1 {
-			e.options.Logger.Info("agent silent", "agent", r.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
+		if at.failed == 1 {
+			e.options.Logger.Info("agent silent", "agent", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
 		}
-		r.nextHold = e.now + holdRetry
+		at.nextHold = e.now + holdRetry
 		return
 	}
-	if r.failed > 0 {
-		e.options.Logger.Info("agent heard again", "agent", r.record.Id, "silent", e.now-r.answered)
+	if at.failed > 0 {
+		e.options.Logger.Info("agent heard again", "agent", at.record.Id, "silent", e.now-at.answered)
 		e.dirty = true
 	}
-	r.failed, r.answered, r.nextHold = 0, e.now, e.now
-	first := !r.synced
+	at.failed, at.answered, at.nextHold = 0, e.now, e.now
+	first := !at.synced
 	if first {
-		r.synced = true
+		at.synced = true
 		e.dirty = true
-		e.dropPredecessors(r)
+		e.dropPredecessors(at)
 	}
-	e.noteRunning(r, a)
-	e.noteEnded(r, a)
-	e.settleAbsent(r, a)
-	e.watchTails(r)
-	e.tendAgent(r)
+	e.noteRunning(at, a)
+	e.noteEnded(at, a)
+	e.settleAbsent(at, a)
+	e.watchTails(at)
+	e.tendAgent(at)
 }
 
 // dropPredecessors gives up earlier incarnations at the address of one that
 // has answered there: a new process at the same place is proof that the old
 // one has ended, and all that ran in it.
-func (e *Engine) dropPredecessors(r *agent) {
+func (e *Engine) dropPredecessors(at *agent) {
 	for _, other := range e.agents {
-		if other != r && other.record.Address == r.record.Address {
+		if other != at && other.record.Address == at.record.Address {
 			e.dropAgent(other, "another incarnation answered at its address")
 		}
 	}
 }
 
-func (e *Engine) noteRunning(r *agent, a Answer) {
-	r.standing = false
+func (e *Engine) noteRunning(at *agent, a Answer) {
+	at.standing = false
 	for i := range a.Running {
 		status := &a.Running[i]
 		t := e.graph.Find(status.Run)
 		known := e.runs[t]
-		if t == nil || known == nil || known.agent != r || known.number != status.Run.Run {
-			e.stopStray(r, status.Run)
+		if t == nil || known == nil || known.agent != at || known.number != status.Run.Run {
+			e.stopStray(at, status.Run)
 			continue
 		}
 		known.seenRunning(e.now, status)
 		if t.Stage.Step.TailTargetMs > 0 {
-			r.standing = true
+			at.standing = true
 		}
 	}
 }
 
 // stopStray stops a run that the state doesn't know to be there. It may only
 // be one whose end was noted on another ground.
-func (e *Engine) stopStray(r *agent, id *wire.RunId) {
-	e.options.Logger.Warn("unknown run stopped", "agent", r.record.Id, "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run)
-	e.send(r, Order{Kind: Stop, Run: id})
+func (e *Engine) stopStray(at *agent, id *wire.RunId) {
+	e.options.Logger.Warn("unknown run stopped", "agent", at.record.Id, "job", id.Job, "step", id.Step, "index", id.Index, "run", id.Run)
+	e.send(at, Order{Kind: Stop, Run: id})
 }
 
 // noteEnded commits the ends that the agent lists. They are acknowledged to
 // it only after that, by the next hold.
-func (e *Engine) noteEnded(r *agent, a Answer) {
-	last := r.lastSeen
+func (e *Engine) noteEnded(at *agent, a Answer) {
+	last := at.lastSeen
 	var ends []*wire.RunEnd
 	for _, report := range a.Ended {
-		if report.Number <= r.lastSeen {
+		if report.Number <= at.lastSeen {
 			continue
 		}
 		last = max(last, report.Number)
 		t := e.graph.Find(report.Run)
-		if t == nil || t.Agent != r.record.Id || t.Run != report.Run.Run {
+		if t == nil || t.Agent != at.record.Id || t.Run != report.Run.Run {
 			continue
 		}
-		e.noteOutcome(r, t, report.Outcome)
-		ends = append(ends, &wire.RunEnd{Id: report.Run, Agent: r.record.Id, Outcome: report.Outcome, Checkpoint: report.Checkpoint})
+		e.noteOutcome(at, t, report.Outcome)
+		ends = append(ends, &wire.RunEnd{Id: report.Run, Agent: at.record.Id, Outcome: report.Outcome, Checkpoint: report.Checkpoint})
 	}
 	if len(ends) == 0 {
-		r.lastSeen = last
+		at.lastSeen = last
 		return
 	}
-	r.ending = true
-	e.options.Logger.Info("runs ended", "agent", r.record.Id, "runs", endsText(ends), "up_to", last)
+	at.ending = true
+	e.options.Logger.Info("runs ended", "agent", at.record.Id, "runs", endsText(ends), "up_to", last)
 	e.commitEnds(ends, func(ok bool) {
-		r.ending = false
+		at.ending = false
 		if ok {
-			r.lastSeen = last
+			at.lastSeen = last
 		}
-		e.tendAgent(r)
+		e.tendAgent(at)
 	})
 }
 
