--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -150,3 +150,40 @@
 	}
 	assert.Equal(t, running, 1)
 }
+
+// Symptom: a standing task stays away for many seconds though there is room for
+// it. Sequence: its agent leaves; of the others the one with the most room runs
+// another task of its step, beside which it may not run. Cause: room was let
+// grow there, where the task can never go, again in each pass.
+func TestStandingTaskComesBackApart(t *testing.T) {
+	s := newSim(3, 3, true, faults{})
+	s.agents["10.0.0.1:1"].record.CpuMillis = 16000
+	s.submitSpec(&wire.Step{Count: 2, CpuMillis: 6000, EstimateMs: 500, Standing: true, SpreadLimit: 1})
+	s.run(3*time.Second, 0)
+	var home string
+	for address, r := range s.agents {
+		if len(r.runs) > 0 && address != "10.0.0.1:1" {
+			home = address
+		}
+	}
+	flood := func(length time.Duration) {
+		for end := s.now + length; s.now < end; {
+			s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1500, EstimateMs: uint64(300 + s.random.IntN(500))})
+			s.run(20*time.Millisecond, 0)
+		}
+	}
+	flood(2 * time.Second)
+	lost := s.agents[home]
+	delete(s.agents, home)
+	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: lost.record.Id}}})
+	flood(3 * time.Second)
+	running := 0
+	for _, r := range s.agents {
+		for _, run := range r.runs {
+			if run.step.Standing {
+				running++
+			}
+		}
+	}
+	assert.Equal(t, running, 2)
+}
--- a/internal/sched/drive/reserve.go
+++ b/internal/sched/drive/reserve.go
@@ -73,7 +73,7 @@
 func (p *pass) keepClear(t *graph.Task, rooms []*room) {
 	var best *room
 	for _, m := range rooms {
-		if m.heldFor != nil || m.cpu+m.ordinary < float64(t.Stage.Step.CpuMillis) {
+		if m.heldFor != nil || !m.suits(t.Stage) || m.cpu+m.ordinary < float64(t.Stage.Step.CpuMillis) {
 			continue
 		}
 		if m.agent.record.Id == p.engine.clearing[t] {
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -138,12 +138,22 @@
 	switch {
 	case m.heldFor != nil && m.heldFor != s:
 		return false
-	case m.memory < float64(step.MemoryMb) || m.accel < float64(step.Accelerators):
-		return false
 	case !step.Opportunistic && m.cpu < float64(step.CpuMillis):
 		return false
 	case step.Opportunistic && m.idle < float64(step.CpuMillis):
 		return false
+	default:
+		return m.suits(s)
+	}
+}
+
+// suits tells whether a task of the stage may be placed once there are enough
+// processors.
+func (m *room) suits(s *graph.Stage) bool {
+	step := s.Step
+	switch {
+	case m.memory < float64(step.MemoryMb) || m.accel < float64(step.Accelerators):
+		return false
 	case step.SpreadLimit > 0 && m.stages[s] >= int(step.SpreadLimit):
 		return false
 	case step.RequiredLabel != "" && !hasLabel(m.agent.record, step.RequiredLabel):
