--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -107,9 +107,9 @@
 		return err
 	}
 	defer flush(context.WithoutCancel(ctx))
-	started, stopFollowing := context.WithCancel(ctx)
+	running, stopFollowing := context.WithCancel(ctx)
 	defer stopFollowing()
-	if err := c.start(started, reloads); err != nil {
+	if err := c.start(running, reloads); err != nil {
 		return err
 	}
 	logger.Info("started", "replica", c.self.ReplicaId, "address", c.self.Address)
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -37,8 +37,8 @@
 		ready    map[*Stage]bool
 		pending  map[string]int // accepted jobs without a begun task, by queue
 		sequence uint64
-		// Changed is called with each stage that became ready, ended or was
-		// given up, and each time the set of agents changes; nil is allowed.
+		// Changed is called after each command that may have changed what is to
+		// be placed or where it may go; nil is allowed.
 		Changed func()
 		// Finished is called with each job that reaches its final state by a
 		// command; nil is allowed.
