A round that was confirmed is never noted again

Cause: with no round waiting for answers, each turn noted the last one again, with the time of that turn. It had been confirmed, so the right to lead was renewed without asking anyone. A leader that thawed after 6.9 s answered a read of the configuration with the version from before it, placed runs and sent stops (all refused by their agents' fences). The same moment is what leases of the worker protocol are granted by. Excluded: the boot clock (it counted the freeze: waited_ms 7829 of a stage that was ready at 1.7 s), the quorum's answers (all were of the next term). Change: each round is noted once, in the turn that sent it. Tests, seen failing: TestSuspendedLeaderHasNoRightToLead, TestConfirmedMomentGrowsOldInSilence.

--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -123,6 +123,7 @@
 		reads     []read
 		freshRead []func(error)
 		rounds    []sentRound
+		noted     uint64 // the highest round that was ever in rounds
 		confirmed time.Time
 		role      quorum.Role
 		leaderAt  time.Time
--- /dev/null
+++ b/internal/store/node/right_test.go
@@ -0,0 +1,143 @@
+// This file defines the test of a leader that was suspended.
+
+package node_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/node"
+	"sycamoredeck.example/internal/store/state"
+	"sycamoredeck.example/internal/store/walog"
+)
+
+const (
+	heartbeat       = 10 * time.Millisecond
+	electionTimeout = 100 * time.Millisecond
+)
+
+// trio is replica 1 of three. The test plays the other two: they agree to all
+// that they are asked, as long as they answer.
+type trio struct {
+	node      *node.Node
+	clock     *clockwork.FakeClock
+	boot      atomic.Int64
+	answering atomic.Bool
+}
+
+func startTrio(t *testing.T) *trio {
+	t.Helper()
+	log, durable, err := walog.Open(t.TempDir(), walog.Options{})
+	assert.NilError(t, err)
+	durable.Snapshot = &wire.Snapshot{Membership: &wire.Membership{ClusterId: 9, Members: []*wire.ControlMember{
+		{ReplicaId: 1, Voter: true}, {ReplicaId: 2, Voter: true}, {ReplicaId: 3, Voter: true},
+	}}}
+	r := &trio{clock: clockwork.NewFakeClock()}
+	r.answering.Store(true)
+	r.node, err = node.New(node.Options{
+		ID: 1, HeartbeatInterval: heartbeat, ElectionTimeout: electionTimeout, SnapshotRecords: 20000,
+		Clock: r.clock, Boot: func() time.Duration { return time.Duration(r.boot.Load()) },
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Send:   r.answer,
+		Lookup: func(uint64) *wire.ControlMember { return nil },
+		Failed: func(err error) { t.Error(err) },
+	}, log, durable, state.New(state.Options{}))
+	assert.NilError(t, err)
+	go r.node.Run()
+	t.Cleanup(func() {
+		r.node.Stop()
+		assert.NilError(t, log.Close())
+	})
+	return r
+}
+
+// answer is what a replica says that holds all and agrees to all.
+func (r *trio) answer(to *wire.ControlMember, messages []*wire.PeerMessage) {
+	if !r.answering.Load() {
+		return
+	}
+	kinds := map[wire.PeerMessageKind]wire.PeerMessageKind{
+		wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE: wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER,
+		wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE:     wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE_ANSWER,
+		wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND:   wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER,
+	}
+	var answers []*wire.PeerMessage
+	for _, m := range messages {
+		answers = append(answers, &wire.PeerMessage{
+			Kind: kinds[m.Kind], From: to.ReplicaId, To: m.From, ClusterId: m.ClusterId, Term: m.Term,
+			Index: m.Index + uint64(len(m.Records)), Round: m.Round,
+		})
+	}
+	r.node.Step(answers)
+}
+
+// term returns the term in which the replica leads, once it does.
+func (r *trio) term(t *testing.T) uint64 {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); time.Now().Before(end); {
+		term := uint64(0)
+		assert.NilError(t, r.node.Do(context.Background(), func() {
+			if _, leads := r.node.Leads(); leads {
+				term = r.node.Core().Status().Term
+			}
+		}))
+		if term != 0 && r.node.RightToLead(term) {
+			return term
+		}
+		r.advance(heartbeat / 2)
+	}
+	t.Fatal("the replica doesn't lead")
+	return 0
+}
+
+func (r *trio) advance(d time.Duration) {
+	r.boot.Add(int64(d))
+	r.clock.Advance(d)
+}
+
+// Symptom: a leader that was suspended for seconds answers reads from before
+// that and sends orders beside the next leader, for 0.8 election timeouts after
+// it wakes. Sequence: all its rounds are confirmed; it is suspended and another
+// is elected; on waking it takes a message before its own next heartbeat is due.
+// Cause: with no round waiting for answers, the turn noted the last round again
+// as if it had been sent just now, and as it was confirmed long ago, the right
+// to lead was renewed without asking anyone.
+func TestSuspendedLeaderHasNoRightToLead(t *testing.T) {
+	r := startTrio(t)
+	term := r.term(t)
+	r.answering.Store(false)
+	r.boot.Add(int64(7 * time.Second)) // its own timers stand still meanwhile
+	for range 3 {
+		var confirmed time.Duration
+		assert.NilError(t, r.node.Do(context.Background(), func() {
+			confirmed = r.clock.Since(r.node.ConfirmedAt())
+		}))
+		assert.Assert(t, !r.node.RightToLead(term), "the right to lead was renewed, as of %v ago", confirmed)
+	}
+}
+
+// The same cause by the clock that leases are granted by: silence of all others
+// must make the confirmed moment older, whatever other turns there are.
+func TestConfirmedMomentGrowsOldInSilence(t *testing.T) {
+	r := startTrio(t)
+	r.term(t)
+	r.answering.Store(false)
+	// One turn for what was on its way.
+	assert.NilError(t, r.node.Do(context.Background(), func() {}))
+	before := time.Time{}
+	assert.NilError(t, r.node.Do(context.Background(), func() { before = r.node.ConfirmedAt() }))
+	r.clock.Advance(heartbeat / 4) // less than a tick
+	for range 3 {
+		after := time.Time{}
+		assert.NilError(t, r.node.Do(context.Background(), func() { after = r.node.ConfirmedAt() }))
+		assert.Assert(t, after.Equal(before), "confirmed %v later without an answer", after.Sub(before))
+	}
+}
--- a/internal/store/node/turn.go
+++ b/internal/store/node/turn.go
@@ -199,6 +199,11 @@
 }
 
 // noteRounds keeps when each round was sent until a quorum has answered it.
+//
+// A round is noted once, in the turn that sent it. If one that was confirmed
+// were noted again, with the time of a later turn, a leader would renew its own
+// right to lead without asking anyone: after a suspension it would answer reads
+// from before it, and send orders beside the next leader.
 func (n *Node) noteRounds() {
 	status := n.core.Status()
 	if status.Role != quorum.Leader || status.HandingOver {
@@ -208,7 +213,8 @@
 		n.rounds, n.confirmed = nil, time.Time{}
 		return
 	}
-	if len(n.rounds) == 0 || n.rounds[len(n.rounds)-1].round < status.Round {
+	if status.Round > n.noted {
+		n.noted = status.Round
 		n.rounds = append(n.rounds, sentRound{status.Round, n.turnBegan, n.bootBegan})
 	}
 	for len(n.rounds) > 0 && n.rounds[0].round <= status.ConfirmedRound {
