A tail that stays over its target halts all that works beside it

A cause that fits, by reading: runs that add little each aren't slowed one by one, and together keep a tail over its target. Change: after 2 s over its target without a reading below, all opportunistic work beside stops, unless the run's own load is the cause by what is known and how surely it is known. Test: TestManySmallDisturbancesAreEnded, seen failing (over the target for 10.25 s on end, now 2.47 s).

--- a/internal/sched/drive/load_test.go
+++ b/internal/sched/drive/load_test.go
@@ -65,50 +65,80 @@
 	}
 }
 
-// beside plays a standing task on each of two agents, whose tail is one of its own
-// that swings in 14 s, times what images add, and opportunistic jobs of one image that come all the
-// time. It returns the share of the readings over the target, that of the runs'
-// time in which they were slowed or stopped, and the jobs that ended.
-func beside(s *sim, image string, low, high float64, adds map[string]float64) (over, slowed float64, done int) {
-	const target = 50
-	s.tailOf = func(r *modelAgent, _ *modelRun) int {
-		swing := math.Sin(2 * math.Pi * s.now.Seconds() / 14)
-		tail := math.Sqrt(low*high) * math.Pow(high/low, swing/2)
-		for _, run := range r.runs {
+// standingAndBeside is a standing task on each of two agents, whose tail is one of
+// its own that swings in 14 s, times what the image beside it adds, and
+// opportunistic jobs of that image that come all the time.
+type standingAndBeside struct {
+	low, high float64 // own tail, milliseconds
+	adds      float64 // to the tail's logarithm, by the whole of an agent
+	cpuMillis uint64  // of a job
+	every     int     // ticks from one job to the next
+}
+
+// outcome is what came of it: the share of time over the target, the longest time
+// over it, the share of the runs' time in which they were slowed or stopped, and
+// the jobs that ended.
+type outcome struct {
+	over, slowed float64
+	longest      time.Duration
+	done         int
+}
+
+const standingTarget = 50 // milliseconds
+
+func (c standingAndBeside) tail(r *modelAgent, _ *modelRun) int {
+	swing := math.Sin(2 * math.Pi * r.sim.now.Seconds() / 14)
+	tail := math.Sqrt(c.low*c.high) * math.Pow(c.high/c.low, swing/2)
+	for _, run := range r.runs {
+		if run.step.Opportunistic {
 			share := float64(run.step.CpuMillis) / float64(r.record.CpuMillis) * float64(run.pace) / 100
-			tail *= math.Exp(adds[run.step.Image] * share)
+			tail *= math.Exp(c.adds * share)
 		}
-		return int(tail)
 	}
-	s.submitSpec(&wire.Step{Count: 2, CpuMillis: 2000, MemoryMb: 100, EstimateMs: 500, Standing: true, TailTargetMs: target, Image: "standing", SpreadLimit: 1})
+	return int(tail)
+}
+
+func (c standingAndBeside) play() outcome {
+	s := newSim(1, 2, true, faults{})
+	s.tailOf = c.tail
+	s.submitSpec(&wire.Step{Count: 2, CpuMillis: 2000, MemoryMb: 100, EstimateMs: 500, Standing: true, TailTargetMs: standingTarget, Image: "standing", SpreadLimit: 1})
 	s.run(4*time.Second, 0)
-	readings, runs := 0, 0
+	var result outcome
+	var readings, runs float64
+	since := map[*modelRun]time.Duration{}
 	for i := range 2000 {
-		if i%20 == 0 {
-			s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1200, MemoryMb: 100, EstimateMs: 1500, Opportunistic: true, Checkpointable: true, Image: image})
+		if i%c.every == 0 {
+			s.submitSpec(&wire.Step{Count: 1, CpuMillis: c.cpuMillis, MemoryMb: 10, EstimateMs: 1500, Opportunistic: true, Checkpointable: true, Image: "beside"})
 		}
 		s.run(simTick, 0)
 		for _, r := range s.agents {
 			for _, run := range r.runs {
 				switch {
+				case run.step.Standing && s.tailOf(r, run) > standingTarget:
+					readings++
+					result.over++
+					since[run] += simTick
+					result.longest = max(result.longest, since[run])
 				case run.step.Standing:
 					readings++
-					over += float64(min(s.tailOf(r, run)/(target+1), 1))
+					since[run] = 0
 				case run.pace < 100 || run.stopping > 0:
-					slowed++
 					runs++
+					result.slowed++
 				default:
 					runs++
 				}
 			}
 		}
 	}
+	result.over /= max(readings, 1)
+	result.slowed /= max(runs, 1)
 	for _, id := range s.jobs {
 		if s.graph.Job(id).State == wire.WorkState_WORK_STATE_COMPLETED {
-			done++
+			result.done++
 		}
 	}
-	return over / float64(readings), slowed / float64(max(runs, 1)), done
+	return result
 }
 
 // Symptom: opportunistic work that disturbs nobody is slowed to nothing, moved
@@ -116,18 +146,27 @@
 // near its target for seconds. Cause: what ran beside was slowed until the tail
 // would fall, whatever it added to it.
 func TestHarmlessWorkGoesOnBesideAPeak(t *testing.T) {
-	s := newSim(1, 2, true, faults{})
-	_, slowed, done := beside(s, "harmless", 20, 47, map[string]float64{"harmless": 0.05})
-	t.Logf("slowed for %.3f of their time, %d jobs done", slowed, done)
-	assert.Assert(t, slowed < 0.05, "harmless runs were slowed for %.2f of their time", slowed)
-	assert.Assert(t, done > 85, "%d of 100 jobs ended", done)
+	got := standingAndBeside{low: 20, high: 47, adds: 0.05, cpuMillis: 1200, every: 20}.play()
+	t.Logf("%+v", got)
+	assert.Assert(t, got.slowed < 0.05, "harmless runs were slowed for %.2f of their time", got.slowed)
+	assert.Assert(t, got.done > 85, "%d of 100 jobs ended", got.done)
 }
 
 // What harms is kept within the target, and still gets done as far as it may.
 func TestHarmfulWorkIsHeldBack(t *testing.T) {
-	s := newSim(1, 2, true, faults{})
-	over, _, done := beside(s, "harmful", 15, 30, map[string]float64{"harmful": 3})
-	t.Logf("over the target for %.3f of the time, %d jobs done", over, done)
-	assert.Assert(t, over < 0.35, "over the target for %.2f of the time", over)
-	assert.Assert(t, done > 30, "%d of 100 jobs ended", done)
+	got := standingAndBeside{low: 15, high: 30, adds: 3, cpuMillis: 1200, every: 20}.play()
+	t.Logf("%+v", got)
+	assert.Assert(t, got.over < 0.35, "over the target for %.2f of the time", got.over)
+	assert.Assert(t, got.done > 30, "%d of 100 jobs ended", got.done)
+}
+
+// Symptom: a standing task stays over its target for many seconds by what works
+// beside it, and nothing is slowed. Sequence: its own load is near its target, and
+// many runs beside it add a little each, together enough. Cause: each of them
+// alone is too little to be slowed for.
+func TestManySmallDisturbancesAreEnded(t *testing.T) {
+	got := standingAndBeside{low: 38, high: 46, adds: 0.7, cpuMillis: 500, every: 12}.play()
+	t.Logf("%+v", got)
+	assert.Assert(t, got.longest < 3500*time.Millisecond, "over the target for %v on end", got.longest)
+	assert.Assert(t, got.done > 30, "%d of 167 jobs ended", got.done)
 }
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -38,6 +38,15 @@
 	// vain. Without this worth was 0.470 and 0.711 at 66 and 48 agents, with 0.03
 	// 0.648 and 0.783, with 0.06 0.682 and 0.778 (mean of six days, one run each).
 	leastAdds = 0.06
+	// longOver is how long a standing run may be over its target until all
+	// opportunistic ones beside it stop working, however little each adds: a tail
+	// takes another second or so until it shows that, and users bear four to five
+	// seconds on end.
+	longOver = 2000 * time.Millisecond
+	// ownDoubt is how far the logarithm of a run's own tail may be off, beside what
+	// is uncertain of the weights; over the target by more, others aren't the cause.
+	// It is the median by which a reading misses what is expected of it.
+	ownDoubt = 0.05
 	// paceAhead is how far ahead a tail is looked at when paces are set: until a
 	// change of pace shows in what is told.
 	paceAhead = 400 * time.Millisecond
@@ -81,6 +90,10 @@
 		return
 	}
 	e.learnTails(at)
+	if standing := e.longestOver(at); standing != nil {
+		e.haltBeside(standing)
+		return
+	}
 	if e.now-at.paceChanged < slowPause {
 		return
 	}
@@ -96,6 +109,43 @@
 	return r.task.Stage.Step.TailTargetMs > 0 && r.phase == phaseRunning && r.usageAt == e.now && r.percent >= 100 && r.usage > 0
 }
 
+// longestOver returns a standing run that has been over its target for long and
+// may be so through what works beside it, or nil.
+func (e *Engine) longestOver(at *agent) *run {
+	var longest *run
+	for t, r := range at.runs {
+		if !e.tellsTail(r) {
+			continue
+		}
+		target := float64(t.Stage.Step.TailTargetMs)
+		switch {
+		case float64(r.usage) <= target:
+			r.overSince = 0
+		case r.overSince == 0:
+			r.overSince = e.now
+		case e.now-r.overSince >= longOver && r.quiet.level < logOf(target)+ownDoubt+e.pressure.doubt(t.Stage.Step.Image, at.beside):
+			longest = r
+		}
+	}
+	return longest
+}
+
+// haltBeside stops all opportunistic work beside a standing run for as long as it
+// is over its target. Runs that add little each aren't slowed one by one, and
+// together they may keep a tail over its target for as long as they come; what
+// is learned may be wrong as well. One sees it by a tail that stays over its
+// target while runs beside it work. Those that add much are moved away, the others
+// wait where they are.
+func (e *Engine) haltBeside(standing *run) {
+	for _, r := range e.offenders(standing) {
+		if r.task.Stage.Step.Checkpointable && e.addsTo(standing, r) >= leastAdds {
+			e.moveAway(r, standing)
+		}
+		e.setPace(r, 0, standing)
+	}
+	standing.agent.paceChanged = e.now
+}
+
 // worstOff returns the standing run that opportunistic ones take farthest over
 // the part of its target from which on they are slowed, or nil.
 func (e *Engine) worstOff(at *agent) *run {
--- a/internal/sched/drive/pressure.go
+++ b/internal/sched/drive/pressure.go
@@ -96,6 +96,19 @@
 	return sum
 }
 
+// doubt is how far added may be off, by the variances of the weights.
+func (p *pressure) doubt(standing string, beside load) float64 {
+	sum := 0.0
+	for image, share := range beside {
+		variance := firstVariance
+		if known, ok := p.weights[pair{standing, image}]; ok {
+			variance = known.variance
+		}
+		sum += math.Sqrt(variance) * share
+	}
+	return sum
+}
+
 // learn takes what the logarithm of a tail is off by, after a change of the load
 // beside it.
 func (p *pressure) learn(standing string, now time.Duration, change load, miss float64) {
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -72,6 +72,7 @@
 	nextPace   time.Duration
 	pacedAt    time.Duration // when the pace last changed
 	quiet      quietTail     // of a standing run
+	overSince  time.Duration // since when its tail is over its target; 0 when it isn't
 	ending     bool          // its end is being committed
 }
 
