--- a/internal/sched/drive/meter.go
+++ b/internal/sched/drive/meter.go
@@ -16,6 +16,7 @@
 	agentsDropped = metrics.NewCounter("sycamoredeck_agents_given_up_total")
 	holdsFailed   = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
 	runsMoved     = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
+	haltsBeside   = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
 	runsStalled   = metrics.NewCounter("sycamoredeck_runs_stalled_total")
 	readyToStart  = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
 )
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -137,7 +137,15 @@
 // target while runs beside it work. Those that add much are moved away, the others
 // wait where they are.
 func (e *Engine) haltBeside(standing *run) {
-	for _, r := range e.offenders(standing) {
+	offenders := e.offenders(standing)
+	if len(offenders) == 0 {
+		return
+	}
+	haltsBeside.Inc()
+	e.options.Logger.Info("all opportunistic work beside a standing run halted", "agent", standing.agent.record.Id,
+		"job", standing.task.Stage.Job.ID, "step", standing.task.Stage.Index, "index", standing.task.Index, "tail_ms", standing.usage,
+		"target_ms", standing.task.Stage.Step.TailTargetMs, "over", e.now-standing.overSince, "runs", len(offenders))
+	for _, r := range offenders {
 		if r.task.Stage.Step.Checkpointable && e.addsTo(standing, r) >= leastAdds {
 			e.moveAway(r, standing)
 		}
