--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
 	"sycamoredeck.example/internal/store/state"
@@ -58,7 +59,7 @@
 	paceChanged    time.Duration
 	// beside is what the opportunistic runs used at the latest reading that was
 	// learned from.
-	beside   load
+	beside   tails.Load
 	besideAt time.Duration
 }
 
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sycamoredeck.example/internal/base/boot"
+	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
 	"sycamoredeck.example/internal/store/state"
@@ -65,7 +66,7 @@
 		placing   bool
 		nextTimed time.Duration
 		learned   learning
-		pressure  pressure
+		pressure  tails.Model
 		// ordinaryNeed is in thousandths of a processor, by pool.
 		ordinaryNeed map[string]float64
 		nextNeed     time.Duration
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -6,6 +6,8 @@
 import (
 	"sort"
 	"time"
+
+	"sycamoredeck.example/internal/sched/tails"
 )
 
 const (
@@ -30,6 +32,9 @@
 	// usualUse is the part of its declared processors that an opportunistic
 	// run uses; taken where nothing was told yet.
 	usualUse = 0.8
+	// usualQuiet is the part of its target that a standing task's tail is
+	// taken for before its first reading.
+	usualQuiet = 0.4
 	// usageWindow is the time over which usage and tails are told.
 	usageWindow = 500 * time.Millisecond
 	// leastAdds is what one run adds to the logarithm of a tail at least if it is
@@ -56,8 +61,8 @@
 )
 
 // loadBeside is what the opportunistic runs on an agent were told to use.
-func loadBeside(at *agent) load {
-	beside := load{}
+func loadBeside(at *agent) tails.Load {
+	beside := tails.Load{}
 	for t, r := range at.runs {
 		if t.Stage.Step.Opportunistic && r.phase == phaseRunning {
 			beside[t.Stage.Step.Image] += at.share(float64(r.usage))
@@ -123,7 +128,7 @@
 			r.overSince = 0
 		case r.overSince == 0:
 			r.overSince = e.now
-		case e.now-r.overSince >= longOver && r.quiet.level < logOf(target)+ownDoubt+e.pressure.doubt(t.Stage.Step.Image, at.beside):
+		case e.now-r.overSince >= longOver && r.quiet.Level < tails.Log(target)+ownDoubt+e.pressure.Doubt(t.Stage.Step.Image, at.beside):
 			longest = r
 		}
 	}
@@ -163,8 +168,8 @@
 		if !e.tellsTail(r) {
 			continue
 		}
-		over := r.tailSoon() - logOf(float64(t.Stage.Step.TailTargetMs)*overShare)
-		over = min(over, e.pressure.added(t.Stage.Step.Image, at.beside)-leastAdds)
+		over := r.tailSoon() - tails.Log(float64(t.Stage.Step.TailTargetMs)*overShare)
+		over = min(over, e.pressure.Added(t.Stage.Step.Image, at.beside)-leastAdds)
 		if over > worstOver {
 			worst, worstOver = r, over
 		}
@@ -175,16 +180,16 @@
 // tailSoon is the logarithm of a standing run's tail as expected when a change of
 // pace made now shows, by the trend of its own load.
 func (r *run) tailSoon() float64 {
-	return logOf(float64(r.usage)) + r.quiet.trend*paceAhead.Seconds()
+	return tails.Log(float64(r.usage)) + r.quiet.Trend*paceAhead.Seconds()
 }
 
 // learnTails learns from the readings of an agent's standing runs.
 func (e *Engine) learnTails(at *agent) {
-	if e.now-at.besideAt < minReadingGap {
+	if e.now-at.besideAt < tails.MinReadingGap {
 		return
 	}
 	beside := loadBeside(at)
-	change := beside.after(at.beside)
+	change := beside.After(at.beside)
 	for t, r := range at.runs {
 		if t.Stage.Step.TailTargetMs > 0 && e.tellsTail(r) {
 			e.learnTail(r, beside, change)
@@ -195,16 +200,16 @@
 
 // learnTail learns from one reading of a standing run. A reading is compared
 // with the one before only if both were taken with those of its agent.
-func (e *Engine) learnTail(r *run, beside, change load) {
+func (e *Engine) learnTail(r *run, beside, change tails.Load) {
 	image := r.task.Stage.Step.Image
-	tail := logOf(float64(r.usage))
-	if r.quiet.at != r.agent.besideAt {
-		r.quiet.known = false
+	tail := tails.Log(float64(r.usage))
+	if r.quiet.At != r.agent.besideAt {
+		r.quiet.Known = false
 	}
-	if r.quiet.follows(e.now) && len(change) > 0 {
-		e.pressure.learn(image, e.now, change, tail-r.quiet.expect(e.now)-e.pressure.added(image, beside))
+	if r.quiet.Follows(e.now) && len(change) > 0 {
+		e.pressure.Learn(image, e.now, change, tail-r.quiet.Expect(e.now)-e.pressure.Added(image, beside))
 	}
-	r.quiet.note(e.now, tail, e.pressure.added(image, beside), e.pressure.added(image, r.agent.beside))
+	r.quiet.Note(e.now, tail, e.pressure.Added(image, beside), e.pressure.Added(image, r.agent.beside))
 }
 
 // slowBeside slows those opportunistic runs that add most to a standing run's
@@ -212,7 +217,7 @@
 func (e *Engine) slowBeside(standing *run) {
 	at := standing.agent
 	target := float64(standing.task.Stage.Step.TailTargetMs)
-	excess := standing.tailSoon() - logOf(target*goalShare)
+	excess := standing.tailSoon() - tails.Log(target*goalShare)
 	for _, r := range e.offenders(standing) {
 		adds := e.addsTo(standing, r)
 		if excess <= 0 || adds < leastAdds {
@@ -240,7 +245,7 @@
 
 // addsTo is what a run adds to the logarithm of a standing run's tail now.
 func (e *Engine) addsTo(standing, r *run) float64 {
-	weight := e.pressure.weight(standing.task.Stage.Step.Image, r.task.Stage.Step.Image)
+	weight := e.pressure.Weight(standing.task.Stage.Step.Image, r.task.Stage.Step.Image)
 	return weight * r.agent.share(float64(r.usage))
 }
 
@@ -285,8 +290,8 @@
 		if target == 0 || r.phase != phaseRunning {
 			continue
 		}
-		adds := e.pressure.weight(t.Stage.Step.Image, image) * share
-		if adds >= leastAdds && r.tailSoon()+adds > logOf(target*easeShare) {
+		adds := e.pressure.Weight(t.Stage.Step.Image, image) * share
+		if adds >= leastAdds && r.tailSoon()+adds > tails.Log(target*easeShare) {
 			return false
 		}
 	}
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
 	"sycamoredeck.example/internal/store/state"
@@ -222,14 +223,14 @@
 	p.engine.expectTails(m)
 	if step.TailTargetMs > 0 {
 		target := float64(step.TailTargetMs)
-		m.served = append(m.served, served{image: step.Image, expected: logOf(target * usualQuiet), limit: logOf(target * goalShare)})
+		m.served = append(m.served, served{image: step.Image, expected: tails.Log(target * usualQuiet), limit: tails.Log(target * goalShare)})
 	}
 	if !step.Opportunistic {
 		return
 	}
 	share := m.agent.share(float64(step.CpuMillis) * usualUse)
 	for i := range m.served {
-		m.served[i].expected += p.engine.pressure.weight(m.served[i].image, step.Image) * share
+		m.served[i].expected += p.engine.pressure.Weight(m.served[i].image, step.Image) * share
 	}
 }
 
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -5,6 +5,7 @@
 import (
 	"sort"
 
+	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
 )
@@ -77,7 +78,7 @@
 		return
 	}
 	m.tailsKnown = true
-	beside := load{}
+	beside := tails.Load{}
 	for t, r := range m.agent.runs {
 		if t.Stage.Step.Opportunistic && r.stopReason == "" {
 			beside[t.Stage.Step.Image] += r.fullShare()
@@ -88,12 +89,12 @@
 		if target == 0 {
 			continue
 		}
-		quiet := logOf(target * usualQuiet)
-		if r.quiet.known {
-			quiet = r.quiet.expect(e.now + placeAhead)
+		quiet := tails.Log(target * usualQuiet)
+		if r.quiet.Known {
+			quiet = r.quiet.Expect(e.now + placeAhead)
 		}
 		image := t.Stage.Step.Image
-		m.served = append(m.served, served{image: image, expected: quiet + e.pressure.added(image, beside), limit: logOf(target * goalShare)})
+		m.served = append(m.served, served{image: image, expected: quiet + e.pressure.Added(image, beside), limit: tails.Log(target * goalShare)})
 	}
 }
 
@@ -104,7 +105,7 @@
 	share := m.agent.share(float64(s.Step.CpuMillis) * usualUse)
 	bearable = true
 	for _, v := range m.served {
-		more := p.engine.pressure.weight(v.image, s.Step.Image) * share
+		more := p.engine.pressure.Weight(v.image, s.Step.Image) * share
 		adds += more
 		bearable = bearable && (v.expected+more <= v.limit || more < leastAdds)
 	}
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
 )
@@ -71,7 +72,7 @@
 	pacing     bool
 	nextPace   time.Duration
 	pacedAt    time.Duration // when the pace last changed
-	quiet      quietTail     // of a standing run
+	quiet      tails.Quiet   // of a standing run
 	overSince  time.Duration // since when its tail is over its target; 0 when it isn't
 	ending     bool          // its end is being committed
 }
--- a/internal/sched/drive/pressure.go
+++ b/internal/sched/tails/tails.go
@@ -1,7 +1,13 @@
-// This file defines what is learned of how opportunistic work disturbs
-// standing work.
+// This file defines Model, Load and Quiet.
 
-package drive
+// Package tails learns how opportunistic work disturbs standing work: what tail
+// latency a standing task has by itself, and what each image that runs beside it
+// adds to that.
+//
+// It is plain arithmetic over readings; time comes in with them. All figures of
+// tails are natural logarithms of milliseconds, all loads shares of an agent's
+// processors.
+package tails
 
 import (
 	"math"
@@ -22,20 +28,20 @@
 	// readingVariance is that of a tail's logarithm around what is expected, once
 	// the weights are known: 0.06 to 0.2 was measured as its root.
 	readingVariance = 0.01
-	// usualQuiet is the part of its target that a standing task's tail is
-	// taken for before its first reading.
-	usualQuiet = 0.4
 	// trendStep is the weight of the newest reading in the trend of a quiet tail;
 	// with it about a second of readings decides.
 	trendStep = 0.3
 	// maxTrend bounds the trend, a second. The swing of a standing task's own load
 	// moved the logarithm of its tail by up to 0.5 a second.
 	maxTrend = 0.6
-	// minReadingGap and maxReadingGap lie between two readings that are compared.
+	// MinReadingGap and maxReadingGap lie between two readings that are compared.
 	// Tails are told in whole milliseconds, so that closer ones tell nothing of
 	// the trend; between farther ones the load swings.
-	minReadingGap = 200 * time.Millisecond
+	MinReadingGap = 200 * time.Millisecond
 	maxReadingGap = 1500 * time.Millisecond
+	// maxPairs bounds what is remembered, since images are named by callers; beyond
+	// it all is learned anew. Today's deployments have 180 pairs.
+	maxPairs = 20000
 )
 
 type (
@@ -48,7 +54,7 @@
 		at               time.Duration
 	}
 
-	// pressure is the learned model: the logarithm of a standing task's tail
+	// Model is what is learned: the logarithm of a standing task's tail
 	// is that of its own quiet tail plus, for each opportunistic image beside
 	// it, a weight times the share of the agent's processors which that image
 	// uses. The zero value knows nothing.
@@ -60,48 +66,52 @@
 	// Kalman filter that leaves out how the errors of two weights depend on each
 	// other). Learned from the tails themselves, a weight takes up the swing: of
 	// images that add nothing, half were taken for harmful.
-	pressure struct {
+	Model struct {
 		weights map[pair]estimate
 	}
 
-	// load is the share of an agent's processors in use, by image.
-	load map[string]float64
+	// Load is the share of an agent's processors in use, by image.
+	Load map[string]float64
 
-	// quietTail is what is known of a standing run's tail without others' doing:
-	// its logarithm at the latest reading, and how that changes in a second. The
+	// Quiet is what is known of a standing run's tail without others' doing. The
 	// zero value knows nothing.
-	quietTail struct {
-		known bool
-		level float64
-		trend float64
-		// tail is the logarithm of the reading itself.
-		tail float64
-		at   time.Duration
+	Quiet struct {
+		// Known tells that there was a reading, and that what came after it can
+		// be compared with it.
+		Known bool
+		// Level is the quiet tail at the latest reading, Trend its change a second.
+		Level, Trend float64
+		// At is when the latest reading was taken.
+		At time.Duration
+
+		tail float64 // of the reading itself
 	}
 )
 
-func (p *pressure) weight(standing, beside string) float64 {
-	if known, ok := p.weights[pair{standing, beside}]; ok {
+// Weight is what an image that used all of an agent's processors would add to
+// the tail of a standing one.
+func (m *Model) Weight(standing, beside string) float64 {
+	if known, ok := m.weights[pair{standing, beside}]; ok {
 		return known.weight
 	}
 	return firstWeight
 }
 
-// added is what a load adds to the logarithm of a standing task's tail.
-func (p *pressure) added(standing string, beside load) float64 {
+// Added is what a load adds to the logarithm of a standing task's tail.
+func (m *Model) Added(standing string, beside Load) float64 {
 	sum := 0.0
 	for image, share := range beside {
-		sum += p.weight(standing, image) * share
+		sum += m.Weight(standing, image) * share
 	}
 	return sum
 }
 
-// doubt is how far added may be off, by the variances of the weights.
-func (p *pressure) doubt(standing string, beside load) float64 {
+// Doubt is how far Added may be off, by the variances of the weights.
+func (m *Model) Doubt(standing string, beside Load) float64 {
 	sum := 0.0
 	for image, share := range beside {
 		variance := firstVariance
-		if known, ok := p.weights[pair{standing, image}]; ok {
+		if known, ok := m.weights[pair{standing, image}]; ok {
 			variance = known.variance
 		}
 		sum += math.Sqrt(variance) * share
@@ -109,30 +119,30 @@
 	return sum
 }
 
-// learn takes what the logarithm of a tail is off by, after a change of the load
+// Learn takes what the logarithm of a tail is off by, after a change of the load
 // beside it.
-func (p *pressure) learn(standing string, now time.Duration, change load, miss float64) {
-	if p.weights == nil {
-		p.weights = map[pair]estimate{}
+func (m *Model) Learn(standing string, now time.Duration, change Load, miss float64) {
+	if m.weights == nil || len(m.weights) > maxPairs {
+		m.weights = map[pair]estimate{}
 	}
 	noise := readingVariance
 	for image, share := range change {
-		known := p.aged(standing, image, now)
+		known := m.aged(standing, image, now)
 		noise += known.variance * share * share
-		p.weights[pair{standing, image}] = known
+		m.weights[pair{standing, image}] = known
 	}
 	for image, share := range change {
-		known := p.weights[pair{standing, image}]
+		known := m.weights[pair{standing, image}]
 		gain := known.variance * share / noise
 		known.weight = min(max(known.weight+gain*miss, 0), maxWeight)
 		known.variance *= 1 - gain*share
-		p.weights[pair{standing, image}] = known
+		m.weights[pair{standing, image}] = known
 	}
 }
 
 // aged is the estimate of a pair as of now.
-func (p *pressure) aged(standing, beside string, now time.Duration) estimate {
-	known, ok := p.weights[pair{standing, beside}]
+func (m *Model) aged(standing, beside string, now time.Duration) estimate {
+	known, ok := m.weights[pair{standing, beside}]
 	if !ok {
 		return estimate{weight: firstWeight, variance: firstVariance, at: now}
 	}
@@ -141,9 +151,9 @@
 	return known
 }
 
-// after is the load that came since an earlier one; less where it went.
-func (l load) after(earlier load) load {
-	change := load{}
+// After is the load that came since an earlier one; less where it went.
+func (l Load) After(earlier Load) Load {
+	change := Load{}
 	for image, share := range l {
 		if d := share - earlier[image]; d != 0 {
 			change[image] = d
@@ -157,28 +167,29 @@
 	return change
 }
 
-// expect is the logarithm of the quiet tail at a time after the latest reading.
-func (q *quietTail) expect(now time.Duration) float64 {
-	return q.level + q.trend*min(now-q.at, maxReadingGap).Seconds()
+// Expect is the logarithm of the quiet tail at a time after the latest reading.
+func (q *Quiet) Expect(now time.Duration) float64 {
+	return q.Level + q.Trend*min(now-q.At, maxReadingGap).Seconds()
 }
 
-// follows tells whether a reading can be compared with the one before.
-func (q *quietTail) follows(now time.Duration) bool {
-	return q.known && now-q.at <= maxReadingGap
+// Follows tells whether a reading can be compared with the one before.
+func (q *Quiet) Follows(now time.Duration) bool {
+	return q.Known && now-q.At <= maxReadingGap
 }
 
-// note takes a reading: the logarithm of the tail, what is beside adding to it,
+// Note takes a reading: the logarithm of the tail, what is beside adding to it,
 // and what that would have added at the reading before.
-func (q *quietTail) note(now time.Duration, tail, added, addedBefore float64) {
-	if q.follows(now) {
-		slope := (tail - added - q.tail + addedBefore) / (now - q.at).Seconds()
-		q.trend += (min(max(slope, -maxTrend), maxTrend) - q.trend) * trendStep
+func (q *Quiet) Note(now time.Duration, tail, added, addedBefore float64) {
+	if q.Follows(now) {
+		slope := (tail - added - q.tail + addedBefore) / (now - q.At).Seconds()
+		q.Trend += (min(max(slope, -maxTrend), maxTrend) - q.Trend) * trendStep
 	} else {
-		q.trend = 0
+		q.Trend = 0
 	}
-	q.known, q.level, q.tail, q.at = true, tail-added, tail, now
+	q.Known, q.Level, q.tail, q.At = true, tail-added, tail, now
 }
 
-func logOf(milliseconds float64) float64 {
+// Log is the logarithm of a tail; what is told as 0 counts as 1 ms.
+func Log(milliseconds float64) float64 {
 	return math.Log(max(milliseconds, 1))
 }
