A halt ends with the standing task that it was for

Cause, by reading: when the last standing task went from a halted agent, nothing ended the halt, and the agent got no opportunistic work for as long as this leader led. Test: TestHaltEndsWithTheStandingTask, seen failing.

--- a/internal/sched/drive/load_test.go
+++ b/internal/sched/drive/load_test.go
@@ -190,3 +190,28 @@
 	assert.Assert(t, got.longest < 3*time.Second, "over the target for %v on end", got.longest)
 	assert.Assert(t, got.done > 30, "%d of 167 jobs ended", got.done)
 }
+
+// Symptom: an agent gets no opportunistic work any more. Sequence: all of it is
+// halted there for a standing task's sake, and then that task's job is cancelled.
+// Cause: the halt was only ended by a later reading of a tail.
+func TestHaltEndsWithTheStandingTask(t *testing.T) {
+	s := newSim(1, 1, true, faults{})
+	s.tailOf = func(*modelAgent, *modelRun) int { return standingTarget + 2 }
+	s.submitSpec(&wire.Step{Count: 1, CpuMillis: 2000, MemoryMb: 100, EstimateMs: 500, Standing: true, TailTargetMs: standingTarget, Image: "standing"})
+	s.submitSpec(&wire.Step{Count: 4, CpuMillis: 1000, MemoryMb: 10, EstimateMs: 60000, Opportunistic: true, Image: "beside"})
+	s.run(6*time.Second, 0)
+	slowed := 0
+	for _, r := range s.agents {
+		for _, run := range r.runs {
+			if run.pace == 0 {
+				slowed++
+			}
+		}
+	}
+	assert.Assert(t, slowed > 0, "nothing was halted")
+	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: s.jobs[0], Queue: "q"}}})
+	s.run(4*time.Second, 0)
+	s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1000, MemoryMb: 10, EstimateMs: 500, Opportunistic: true, Image: "beside"})
+	s.run(3*time.Second, 0)
+	assert.Equal(t, s.graph.Job(s.jobs[2]).State, wire.WorkState_WORK_STATE_COMPLETED)
+}
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -96,6 +96,7 @@
 // lets go the opportunistic ones there.
 func (e *Engine) watchTails(at *agent) {
 	if !at.standing {
+		at.halted = false
 		e.letAllGo(at)
 		return
 	}
