Too long over a target halts all beside, whatever is known; what is moved is slowed until it has stopped

By reading: while nothing comes or goes beside a task, nothing is learned, and if an image adds more than before, that is taken for the task's own load and nothing is halted. And a run that is moved worked on at full pace until its stop had taken effect. Change: after 2.8 s over its target a run halts all beside it whatever is known; a run that is stopped and was to be slowed to nothing is slowed as well. Test: TestTooLongOverTheTargetHaltsWhateverIsKnown, seen failing.

--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -48,6 +48,10 @@
 	// takes another second or so until it shows that, and users bear four to five
 	// seconds on end.
 	longOver = 2000 * time.Millisecond
+	// tooLongOver is the same for a run whose own load seems to be the cause. What is
+	// learned may be wrong, and where a deployment's tails were looked into, others
+	// were the cause of all time over a target.
+	tooLongOver = 2800 * time.Millisecond
 	// nearShare and clearShare of a target are where the time over it begins and
 	// ends: tails are told as rough figures of the last half second, and one that
 	// hovers at its target is told below it now and then.
@@ -122,8 +126,8 @@
 	return r.task.Stage.Step.TailTargetMs > 0 && r.phase == phaseRunning && r.usageAt == e.now && r.percent >= 100 && r.usage > 0
 }
 
-// longestOver returns a standing run that has been over its target for long and
-// may be so through what works beside it, or nil.
+// longestOver returns a standing run that has been over its target for long, if
+// that may be through what works beside it, or for too long; else nil.
 func (e *Engine) longestOver(at *agent) *run {
 	var longest *run
 	for t, r := range at.runs {
@@ -137,13 +141,21 @@
 			r.overSince = 0
 		case near && r.overSince == 0:
 			r.overSince = e.now
-		case near && e.now-r.overSince >= longOver && r.quiet.Level < tails.Log(target)+ownDoubt+e.pressure.Doubt(t.Stage.Step.Image, at.beside):
+		case near && e.now-r.overSince >= longOver && (e.now-r.overSince >= tooLongOver || e.mayBeOthers(r)):
 			longest = r
 		}
 	}
 	return longest
 }
 
+// mayBeOthers tells whether a standing run could be below its target without what
+// works beside it, by what is known and how surely it is known.
+func (e *Engine) mayBeOthers(r *run) bool {
+	step := r.task.Stage.Step
+	doubt := ownDoubt + e.pressure.Doubt(step.Image, r.agent.beside)
+	return r.quiet.Level < tails.Log(float64(step.TailTargetMs))+doubt
+}
+
 // haltBeside stops all opportunistic work beside a standing run for as long as it
 // is over its target. Runs that add little each aren't slowed one by one, and
 // together they may keep a tail over its target for as long as they come; what
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -127,6 +127,10 @@
 	}
 	if reason := e.wantsStop(r); reason != "" {
 		e.tendStop(r, reason)
+		// It works on until it has stopped, which takes up to the grace.
+		if r.phase == phaseRunning && r.wantedPace == 0 {
+			e.tendPace(r)
+		}
 		return
 	}
 	switch r.phase {
