An agent that is gone for good is given up; late starts of cancelled jobs are checked

Cause: a silent agent went on getting holds, and each bore a longer lease that might have been taken. So the end of its lease moved ahead with every try and it was never given up; its standing tasks stayed away. It showed only where no other incarnation came to its address. Excluded: the rule for when a lease has surely run out is right; it was asked about a mark that moved.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -92,17 +92,28 @@
 	if at.holding || at.ending || e.now < at.nextHold {
 		return
 	}
-	at.holding, at.holdSince, at.holdFor = true, e.now, 0
-	if at.synced {
-		at.holdFor = holdWait
-		if at.standing {
-			at.holdFor = min(max(watchWait, time.Duration(len(e.agents))*time.Second/maxLooks), holdWait)
-		}
+	at.holding, at.holdSince, at.holdFor = true, e.now, e.holdTime(at)
+	o := Order{Kind: Hold, LastSeen: at.lastSeen, Wait: at.holdFor}
+	// A silent agent gets no longer lease: each one sent may have been taken, so
+	// its end would move ahead with every try, and an agent that is gone for good
+	// would never be given up, nor its work run elsewhere.
+	if at.failed == 0 {
+		o.Deadline = at.clock.grant(e.now, e.options.Lease)
+	}
+	e.send(at, o)
+}
+
+// holdTime is how long the next hold may wait for an end. The first one, and
+// those to a silent agent, are answered at once: they ask whether it is there.
+func (e *Engine) holdTime(at *agent) time.Duration {
+	switch {
+	case !at.synced || at.failed > 0:
+		return 0
+	case at.standing:
+		return min(max(watchWait, time.Duration(len(e.agents))*time.Second/maxLooks), holdWait)
+	default:
+		return holdWait
 	}
-	e.send(at, Order{
-		Kind: Hold, Deadline: at.clock.grant(e.now, e.options.Lease),
-		LastSeen: at.lastSeen, Wait: at.holdFor,
-	})
 }
 
 func (e *Engine) dropAgent(at *agent, reason string) {
--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -65,9 +65,11 @@
 		{"late orders, unguarded", false, faults{late: 0.05, lost: 0.05, fail: 0.02}},
 		{"crashes", true, faults{crash: 0.004, cut: 0.004, fail: 0.02}},
 		{"leaders", true, faults{leader: 0.002, late: 0.03, lost: 0.03, fail: 0.02}},
+		{"gone for good", true, faults{gone: 0.003, late: 0.02, fail: 0.02}},
+		{"cancels of late starts", true, faults{cancel: 0.03, late: 0.15, lost: 0.05, leader: 0.002, fail: 0.02}},
 		{"leaving", true, faults{leave: 0.002, cancel: 0.003, fail: 0.02}},
 		{"advice", true, faults{advice: true, late: 0.03, lost: 0.03, leader: 0.001, fail: 0.02}},
-		{"everything", true, faults{leader: 0.001, late: 0.03, lost: 0.03, crash: 0.002, cut: 0.003, leave: 0.001, cancel: 0.002, fail: 0.02, failing: 0.1}},
+		{"everything", true, faults{leader: 0.001, late: 0.03, lost: 0.03, crash: 0.002, cut: 0.003, leave: 0.001, cancel: 0.002, gone: 0.001, fail: 0.02, failing: 0.1}},
 		{"everything, unguarded", false, faults{leader: 0.001, late: 0.03, lost: 0.03, crash: 0.002, cut: 0.003, leave: 0.001, cancel: 0.002, fail: 0.02, failing: 0.1}},
 	}
 	for _, c := range cases {
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -29,6 +29,7 @@
 		fails    bool
 		pace     int           // percent
 		stopping time.Duration // when a stop ends it; 0 for none
+		began    time.Duration
 	}
 
 	// modelAgent is one incarnation of a worker, by the rules that the
@@ -148,7 +149,7 @@
 	r.sim.began(r, o)
 	length := time.Duration(step.EstimateMs) * time.Millisecond
 	r.runs[key] = &modelRun{
-		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, pace: 100,
+		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, pace: 100, began: r.sim.now,
 		fails: r.failing || r.sim.random.Float64() < r.sim.faults.fail,
 	}
 	return drive.Accepted
--- a/internal/sched/drive/order_test.go
+++ b/internal/sched/drive/order_test.go
@@ -148,3 +148,46 @@
 	assert.Equal(t, s.task().Agent, "")
 	assert.Equal(t, s.task().Checkpoint, "saved-7")
 }
+
+// Symptom: standing tasks stay away for the rest of the day though there is room
+// for them. Sequence: an agent is gone for good, without a word, and no other
+// incarnation comes to its address; holds are sent to it for as long as nothing
+// answers. Cause: each of them bore a longer lease that might have been taken, so
+// that the end of the lease moved ahead with every try.
+func TestAgentGoneForGoodIsGivenUp(t *testing.T) {
+	s := newScript(t)
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	s.answer(s.next(drive.Start), drive.Accepted)
+	s.now += time.Second
+	lastGrant := s.now
+	for s.task().Agent != "" && s.now < time.Minute {
+		for _, o := range s.orders {
+			s.answer(o, drive.NoAnswer)
+		}
+		s.orders = nil
+		s.now += simTick
+		s.engine.Turn(s.now)
+	}
+	assert.Equal(t, s.task().Agent, "", "its run is never given up")
+	lapsed := modelLease * 100 / 98
+	assert.Assert(t, s.now > lastGrant+lapsed-time.Second, "given up after %v, before its lease has surely run out", s.now-lastGrant)
+	assert.Assert(t, s.now < lastGrant+lapsed+4*time.Second, "given up after %v", s.now-lastGrant)
+}
+
+// A start that was placed while its agent fell silent prolongs no lease either,
+// and is sent once the agent is heard again.
+func TestNoStartToASilentAgent(t *testing.T) {
+	s := newScript(t)
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	first := s.next(drive.Start)
+	s.answer(s.next(drive.Hold), drive.NoAnswer)
+	s.answer(first, drive.NoAnswer)
+	for range 5 {
+		s.answer(s.next(drive.Hold), drive.NoAnswer)
+	}
+	for _, o := range s.orders {
+		assert.Assert(t, o.Kind != drive.Start, "a start is sent to a silent agent")
+	}
+	s.answer(s.next(drive.Hold), drive.Accepted)
+	assert.Equal(t, s.next(drive.Start).Run.Run, uint32(1))
+}
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -165,6 +165,11 @@
 
 // start sends the order, for the first time or again.
 func (e *Engine) start(r *run) {
+	if r.agent.failed > 0 {
+		// Its deadline would prolong the lease of an agent that may be gone.
+		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
+		return
+	}
 	deadline := r.agent.clock.grant(e.now, e.options.Lease)
 	if deadline == 0 {
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -28,6 +28,10 @@
 	simBeat       = 1100 * time.Millisecond
 	answerTimeout = 600 * time.Millisecond
 	commitTime    = 10 * time.Millisecond
+	// unwantedTime is how long a run of a cancelled job may be there at most, while
+	// its agent can be reached and there is a leader: until it is seen, stopped, and
+	// one order of each kind was lost.
+	unwantedTime = 7 * time.Second
 )
 
 // faults are probabilities; those without another unit are for each tick.
@@ -38,6 +42,7 @@
 	crash, cut     float64
 	leader, cancel float64
 	leave          float64
+	gone           float64 // for good; an empty one comes at another address
 	failing        float64 // of each incarnation
 }
 
@@ -70,6 +75,7 @@
 		engine     *drive.Engine
 		term       uint64
 		leads      bool
+		ledSince   time.Duration
 		log        []proposal
 		agents     map[string]*modelAgent // by address
 		lives      int
@@ -144,7 +150,7 @@
 func (s *sim) elect() {
 	s.term++
 	term := s.term
-	s.leads = true
+	s.leads, s.ledSince = true, s.now
 	s.engine = drive.New(drive.Options{
 		Graph: s.graph, Lease: modelLease, StopGrace: modelGrace,
 		Propose: func(c *wire.Command, done func(state.Result, error)) {
@@ -356,6 +362,10 @@
 		delete(s.agents, r.record.Address)
 		s.after(time.Second+time.Duration(s.random.Int64N(int64(3*time.Second))), func() { s.bear(r.record.Address) })
 	}
+	if len(s.agents) > 1 && s.chance(s.faults.gone) {
+		delete(s.agents, addresses[s.random.IntN(len(addresses))])
+		s.after(time.Second, func() { s.bear(fmt.Sprintf("10.0.1.%d:1", s.lives)) })
+	}
 	if len(s.agents) > 0 && len(addresses) == len(s.agents) {
 		if s.chance(s.faults.cut) {
 			pick().cutUntil = s.now + time.Duration(s.random.Int64N(int64(14*time.Second)))
@@ -417,6 +427,22 @@
 			}
 		}
 		s.engine.Turn(s.now)
+		s.checkUnwanted()
+	}
+}
+
+// checkUnwanted finds runs of cancelled jobs that nobody stops: also one that an
+// agent began late, and one whose leader is gone.
+func (s *sim) checkUnwanted() {
+	if !s.leads {
+		return
+	}
+	for _, r := range s.agents {
+		for key, run := range r.runs {
+			at, cancelled := s.cancelled[run.id.Job]
+			since := max(at, run.began, r.cutUntil, s.ledSince)
+			s.check(!cancelled || s.now < since+unwantedTime, "%s runs on %s %v after its job was cancelled", key, r.record.Id, s.now-at)
+		}
 	}
 }
 
