Heartbeats of other writers name no agent; decoders are fuzzed

The engine takes agents of named pools alone, and an incarnation keeps its address and pool. The test of the operators' page looks for counters in platform/ as well.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 export PATH := $(TOOLS):$(PATH)
 export CGO_ENABLED := 1
 
-.PHONY: all build demo test unit lint vet generate generate-check format bench clean
+.PHONY: all build demo test unit lint vet generate generate-check format bench fuzz clean
 
 all: build
 
@@ -36,6 +36,11 @@
 format: $(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION)
 	$(TOOLS)/golangci-lint-$(GOLANGCI_LINT_VERSION) fmt
 
+# Feeds arbitrary bytes to the decoders for a while; CI reads damaged messages of one seed.
+FUZZ_TIME ?= 30s
+fuzz:
+	go test ./platform -run '^$$' -fuzz FuzzDecoders -fuzztime $(FUZZ_TIME)
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./internal/...
 
--- a/internal/cli/cmds/docs_test.go
+++ b/internal/cli/cmds/docs_test.go
@@ -38,7 +38,7 @@
 		})
 	}
 	known := map[string]bool{}
-	err := filepath.WalkDir("../..", func(path string, _ fs.DirEntry, err error) error {
+	err := filepath.WalkDir("../../..", func(path string, _ fs.DirEntry, err error) error {
 		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
--- a/internal/sched/drive/meter.go
+++ b/internal/sched/drive/meter.go
@@ -11,14 +11,15 @@
 )
 
 var (
-	runsPlaced    = metrics.NewCounter("sycamoredeck_runs_placed_total")
-	runsEnded     = metrics.NewCounter(`sycamoredeck_runs_ended_total{outcome="all"}`)
-	agentsDropped = metrics.NewCounter("sycamoredeck_agents_given_up_total")
-	holdsFailed   = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
-	runsMoved     = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
-	haltsBeside   = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
-	runsStalled   = metrics.NewCounter("sycamoredeck_runs_stalled_total")
-	readyToStart  = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
+	runsPlaced     = metrics.NewCounter("sycamoredeck_runs_placed_total")
+	runsEnded      = metrics.NewCounter(`sycamoredeck_runs_ended_total{outcome="all"}`)
+	agentsDropped  = metrics.NewCounter("sycamoredeck_agents_given_up_total")
+	holdsFailed    = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
+	runsMoved      = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
+	haltsBeside    = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
+	reportsIgnored = metrics.NewCounter("sycamoredeck_agent_reports_ignored_total")
+	runsStalled    = metrics.NewCounter("sycamoredeck_runs_stalled_total")
+	readyToStart   = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
 )
 
 // countEnd counts a run's end, in all and by its outcome.
--- a/internal/sched/drive/order_test.go
+++ b/internal/sched/drive/order_test.go
@@ -191,3 +191,27 @@
 	s.answer(s.next(drive.Hold), drive.Accepted)
 	assert.Equal(t, s.next(drive.Start).Run.Run, uint32(1))
 }
+
+// Symptom: the state and the log fill with agents on which nothing ever runs, and
+// orders go to addresses that aren't agents. Cause: each heartbeat that could be
+// read made an agent, whoever wrote it.
+func TestReportsOfOtherWritersMakeNoAgent(t *testing.T) {
+	s := newScript(t)
+	s.engine.Turn(s.now)
+	report := func(id, address, pool string) {
+		called := false
+		s.engine.Reported(s.now, &wire.ReportAgentRequest{Agent: &wire.Agent{Id: id, Address: address, Pool: pool, CpuMillis: 8000}}, func(err error) {
+			called = true
+			assert.NilError(t, err)
+		})
+		assert.Assert(t, called)
+	}
+	report("b", "y", "nobody's")
+	assert.Assert(t, s.graph.Agent("b") == nil, "a pool that no catalog names")
+	report("a", "elsewhere", "p")
+	assert.Equal(t, s.graph.Agent("a").Record.Address, "x", "an agent's id with another address")
+	report("a", "x", "q")
+	assert.Equal(t, s.graph.Agent("a").Record.Pool, "p", "an agent's id with another pool")
+	report("b", "y", "p")
+	assert.Assert(t, s.graph.Agent("b") != nil)
+}
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
 	"sycamoredeck.example/internal/store/state"
 )
 
@@ -30,6 +31,11 @@
 		return
 	}
 	known := e.graph.Agent(record.Id)
+	if !report.Gone && !e.names(known, record) {
+		reportsIgnored.Inc()
+		done(nil)
+		return
+	}
 	r := e.agents[record.Id]
 	if r != nil {
 		if report.Sequence != 0 && report.Sequence < r.reportSequence && !report.Gone {
@@ -56,6 +62,17 @@
 	}
 }
 
+// names tells whether a heartbeat names an agent that may be used. One of a pool
+// that no catalog has is taken once a catalog has it, by a later heartbeat:
+// whoever writes heartbeats could else fill the state and the log with agents
+// that nothing runs on. An incarnation keeps its address and pool.
+func (e *Engine) names(known *graph.Agent, told *wire.Agent) bool {
+	if known == nil {
+		return e.graph.Pool(told.Pool) != nil
+	}
+	return known.Record.Address == told.Address && known.Record.Pool == told.Pool
+}
+
 func sameAgent(known, told *wire.Agent) bool {
 	if known.Leaving && !told.Leaving {
 		told = proto.Clone(told).(*wire.Agent)
