Callers are refused at once where no leader can come, and moved on to the next one

Cause: an entry let each request wait 1.5 s for a leader, also through an outage of all control replicas, and held requests under way to a leader without power until their time was up. Change: an entry that too few voters answer refuses at once, with Retry-After; while an election can succeed a call waits 1.2 s at most; one that may have been carried out goes on as long as its caller waits and is made to the next leader as soon as that is known.

--- a/internal/front/uplink/ask.go
+++ b/internal/front/uplink/ask.go
@@ -14,22 +14,30 @@
 
 const (
 	// askTimeout bounds one try, so that a connection that went silent costs
-	// a try and not the whole of the caller's time.
-	askTimeout = 2 * time.Second
+	// a try and not the whole of the caller's time. A commit takes some 10 ms, 0.6 s
+	// where a disk stalls for a moment.
+	askTimeout = 1 * time.Second
 	// retryPause is between tries to reach a leader.
 	retryPause = 25 * time.Millisecond
+	// leaderWait is how long a call waits for a leader while replicas that can elect
+	// one answer: 0.3 to 1 s passed from the loss of one to the next in most
+	// elections that were looked into. Whoever waits longer is better served by a
+	// refusal that says when to come back.
+	leaderWait = 1200 * time.Millisecond
 )
 
 // Call is a method of a control replica.
 type Call[Q, R any] func(ctx context.Context, conn *grpc.ClientConn, request Q) (R, error)
 
 // Ask calls the leader, and the next one while it changes, until the context
-// ends. Only idempotent calls may be made with it, since one may be carried
-// out by a leader whose answer is lost, and sent to the next.
+// ends or no leader can be expected in time. Only idempotent calls may be made
+// with it, since one may be carried out by a leader whose answer is lost, and sent
+// to the next.
 //
 // Its error has code Unavailable if the call surely wasn't carried out, and
 // Aborted if it may have been; other codes are the leader's answer.
 func Ask[Q, R any](ctx context.Context, u *Uplink, request Q, call Call[Q, R]) (R, error) {
+	began := u.options.Clock.Now()
 	uncertain := false
 	for {
 		response, err := askOnce(ctx, u, request, call)
@@ -37,6 +45,9 @@
 			return response, err
 		}
 		uncertain = uncertain || !surelyNotDone(err)
+		if !u.worthWaiting(began, uncertain) {
+			return response, final(err, uncertain)
+		}
 		select {
 		case <-ctx.Done():
 			return response, final(err, uncertain)
@@ -45,14 +56,39 @@
 	}
 }
 
+// worthWaiting tells whether a call that began at a time may yet be answered by a
+// leader. Where too few replicas answer to elect one, none can, and the caller is
+// told at once. A call that may have been carried out goes on for as long as its
+// caller waits: the next leader can tell for sure.
+func (u *Uplink) worthWaiting(began time.Time, uncertain bool) bool {
+	if !u.quorumAnswers() {
+		return false
+	}
+	return uncertain || u.options.Clock.Now().Sub(began) < leaderWait
+}
+
+// askOnce makes one try. It is given up once another leader is known: the one that
+// was asked may be dark, and would be waited for in vain.
 func askOnce[Q, R any](ctx context.Context, u *Uplink, request Q, call Call[Q, R]) (R, error) {
-	conn, err := u.Leader()
+	address, changed := u.leaderNow()
+	if address == "" {
+		var none R
+		return none, status.Error(codes.Unavailable, NotDone+"no control leader is known")
+	}
+	conn, err := u.options.Pool.Conn(address)
 	if err != nil {
 		var none R
 		return none, err
 	}
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-limited.Done():
+		}
+	}()
 	return call(limited, conn, request)
 }
 
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -35,6 +35,9 @@
 	helloTimeout = 1500 * time.Millisecond
 	// heardLimit is how long what a replica said counts.
 	heardLimit = 2 * time.Second
+	// maxFailed hellos in a row tell that a replica doesn't answer, sooner than its
+	// silence: one alone may be a connection that was reset.
+	maxFailed = 2
 )
 
 var (
@@ -60,6 +63,7 @@
 	heard struct {
 		response *wire.HelloResponse
 		at       time.Time
+		failed   int // hellos in a row since then
 	}
 
 	// Uplink may be used by many goroutines once Run is started.
@@ -75,6 +79,8 @@
 		ids       []string
 		leader    string
 		term      uint64
+		// leaderChanged is closed when another leader than this one is known.
+		leaderChanged chan struct{}
 		// fetching guards against several loops fetching one version.
 		fetching sync.Mutex
 		// reviewing keeps EntriesChanged in the order of the views.
@@ -84,7 +90,10 @@
 
 // New returns an uplink that knows nothing yet.
 func New(options Options) *Uplink {
-	return &Uplink{options: options, addresses: options.Addresses, replicas: map[string]heard{}, loops: map[string]context.CancelFunc{}}
+	return &Uplink{
+		options: options, addresses: options.Addresses, replicas: map[string]heard{}, loops: map[string]context.CancelFunc{},
+		leaderChanged: make(chan struct{}),
+	}
 }
 
 // Run keeps in touch until the context ends.
@@ -162,6 +171,7 @@
 		Entry: self, KnownLeader: known.GetLeaderAddress(), KnownTerm: known.GetTerm(),
 	})
 	if err != nil {
+		u.noteFailed(address)
 		return false
 	}
 	u.note(address, response)
@@ -177,11 +187,20 @@
 
 func (u *Uplink) note(address string, r *wire.HelloResponse) {
 	u.mu.Lock()
-	u.replicas[address] = heard{r, u.options.Clock.Now()}
+	u.replicas[address] = heard{response: r, at: u.options.Clock.Now()}
 	u.mu.Unlock()
 	u.review()
 }
 
+func (u *Uplink) noteFailed(address string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if h, ok := u.replicas[address]; ok {
+		h.failed++
+		u.replicas[address] = h
+	}
+}
+
 // review works out from what the replicas said lately who leads, by the
 // highest term, and which entries there are.
 func (u *Uplink) review() {
@@ -211,6 +230,8 @@
 	}
 	if leader != "" && leader != u.leader {
 		u.options.Logger.Info("leader changed", "leader", leader, "term", term)
+		close(u.leaderChanged)
+		u.leaderChanged = make(chan struct{})
 	}
 	u.leader, u.term = leader, term
 	ids := u.ids
@@ -343,6 +364,23 @@
 	return len(addresses) > 0 && fresh > len(addresses)/2
 }
 
+// quorumAnswers tells whether a majority of the voters may answer: all but those
+// that have said nothing for too long, or whose hellos failed again. Before any
+// voter is known it may.
+func (u *Uplink) quorumAnswers() bool {
+	now := u.options.Clock.Now()
+	addresses := u.memberAddresses()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	answering := 0
+	for _, a := range addresses {
+		if h, ok := u.replicas[a]; ok && now.Sub(h.at) <= heardLimit && h.failed < maxFailed {
+			answering++
+		}
+	}
+	return len(addresses) == 0 || answering > len(addresses)/2
+}
+
 // CountTouch counts the time without a majority, once a second.
 func (u *Uplink) CountTouch() {
 	if !u.InTouch() {
@@ -365,3 +403,11 @@
 	}
 	return u.options.Pool.Conn(address)
 }
+
+// leaderNow is the leader's address, or empty, and what is closed once another
+// leader is known.
+func (u *Uplink) leaderNow() (string, <-chan struct{}) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leader, u.leaderChanged
+}
