--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -245,7 +245,9 @@
 		Term:   func() uint64 { return n.Core().Status().Term },
 		Logger: c.logger,
 	})
-	c.startEngine()
+	if err := c.startEngine(); err != nil {
+		return err
+	}
 	c.publish()
 	c.running.Store(true)
 	go n.Run()
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -52,16 +52,21 @@
 
 var _ wire.WorkServiceServer = (*workService)(nil)
 
-func (c *Control) startEngine() {
+func (c *Control) startEngine() error {
+	off, err := drive.ParseMechanisms(c.settings.SwitchedOff)
+	if err != nil {
+		return err
+	}
 	c.engine = drive.New(drive.Options{
 		Graph: c.machine.Graph(), Propose: c.node.Propose,
 		Leads: c.drives, MayOrder: c.node.RightToLead, Send: c.carry, Wall: time.Now,
 		Lease: c.settings.AgentLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
 		OtherRackFactor: c.settings.OtherRackFactor,
-		Advise:          c.advise, Logger: c.logger,
+		Advise:          c.advise, Off: off, Logger: c.logger,
 	})
 	c.machine.Graph().Finished = c.jobFinished
 	c.background.Go(c.forgetLoop)
+	return nil
 }
 
 // jobFinished logs a job's end, once: where it is led from.
--- a/internal/sched/drive/crowd.go
+++ b/internal/sched/drive/crowd.go
@@ -37,7 +37,30 @@
 	}
 }
 
-// expectedUse is the same of a task that has told nothing yet.
+// highest is the highest own utilization of a standing run that new work beside it
+// has to reckon with.
+func (e *Engine) highest(r *run) float64 {
+	if !e.on(SwingForeseen) {
+		return e.pressure.Level(&r.own)
+	}
+	return e.pressure.Peak(&r.own, e.now+placeAhead)
+}
+
+// claim is how many thousandths of a processor a run keeps from new opportunistic
+// work.
+func (e *Engine) claim(r *run) float64 {
+	step := r.task.Stage.Step
+	switch {
+	case e.on(RoomByUse):
+		return r.use(e.highest(r))
+	case step.Standing:
+		return float64(step.CpuMillis) * standingUse
+	default:
+		return float64(step.CpuMillis)
+	}
+}
+
+// expectedUse is what use is for a task that has told nothing yet.
 func expectedUse(step *wire.Step) float64 {
 	if step.Standing {
 		return float64(step.CpuMillis) * standingUse
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -49,7 +49,9 @@
 		// OtherRackFactor is how many times as long a task takes away from the
 		// rack of its data; 1 when below.
 		OtherRackFactor float64
-		Logger          *slog.Logger
+		// Off are mechanisms that are switched off.
+		Off    map[Mechanism]bool
+		Logger *slog.Logger
 	}
 
 	// Engine drives the agents while this replica leads.
@@ -70,6 +72,8 @@
 		// ordinaryNeed is in thousandths of a processor, by pool.
 		ordinaryNeed map[string]float64
 		nextNeed     time.Duration
+		nextSave     time.Duration // when what is learned is kept again
+		saved        *wire.Learned
 		nextLook     time.Duration
 		// nextTend and nextPass are when agents and runs are looked after, and
 		// tasks placed, at the earliest; passTook is what the last pass took.
@@ -147,6 +151,7 @@
 	if now >= e.nextTend {
 		e.nextTend = now + tendInterval
 		e.tend()
+		e.remember()
 	}
 	e.place()
 }
@@ -177,6 +182,7 @@
 func (e *Engine) adopt(term uint64) {
 	e.forget()
 	e.term, e.since = term, e.now
+	e.recall()
 	e.options.Logger.Info("driving begins", "term", term, "agents", len(e.graph.Agents()), "jobs", len(e.graph.Jobs()))
 }
 
--- /dev/null
+++ b/internal/sched/drive/mechs.go
@@ -0,0 +1,62 @@
+// This file defines the mechanisms of placement that can be switched off.
+
+package drive
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Mechanism is a part of how work is placed that can be switched off, to find out
+// what it is worth. None of them keeps a promise on its own: what must hold does so
+// with all of them off.
+type Mechanism string
+
+// The mechanisms.
+const (
+	// AlikeTogether places standing tasks of one image on the same agents.
+	AlikeTogether Mechanism = "AlikeTogether"
+	// CrowdSlowing slows opportunistic work where an agent is crowded.
+	CrowdSlowing Mechanism = "CrowdSlowing"
+	// DensityOrder serves first what is worth most by what is left of it, where more
+	// waits than can be done in time.
+	DensityOrder Mechanism = "DensityOrder"
+	// Halts stops all opportunistic work beside a standing run that is over its target
+	// for long.
+	Halts Mechanism = "Halts"
+	// KeepClear lets room grow for a standing task that has to come back.
+	KeepClear Mechanism = "KeepClear"
+	// LearnedKept hands what a leader learned to the next one.
+	LearnedKept Mechanism = "LearnedKept"
+	// Moves stops disturbing runs that save their progress, to resume elsewhere.
+	Moves Mechanism = "Moves"
+	// Reserve keeps room for ordinary work against standing tasks that are new.
+	Reserve Mechanism = "Reserve"
+	// RoomByUse takes what is used, not what is declared, for the room of
+	// opportunistic work.
+	RoomByUse Mechanism = "RoomByUse"
+	// SwingForeseen looks for the peak of standing tasks' own loads over a run's time.
+	SwingForeseen Mechanism = "SwingForeseen"
+)
+
+// Mechanisms are all that can be switched off.
+var Mechanisms = []Mechanism{
+	AlikeTogether, CrowdSlowing, DensityOrder, Halts, KeepClear, LearnedKept, Moves, Reserve, RoomByUse, SwingForeseen,
+}
+
+// ParseMechanisms reads names of mechanisms.
+func ParseMechanisms(names []string) (map[Mechanism]bool, error) {
+	named := map[Mechanism]bool{}
+	for _, name := range names {
+		m := Mechanism(strings.TrimSpace(name))
+		if !slices.Contains(Mechanisms, m) {
+			return nil, fmt.Errorf("drive: no mechanism %q; there are %v", name, Mechanisms)
+		}
+		named[m] = true
+	}
+	return named, nil
+}
+
+// on tells whether a mechanism is in force.
+func (e *Engine) on(m Mechanism) bool { return !e.options.Off[m] }
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -63,7 +63,7 @@
 		pace := int(float64(r.wantedPace)*(1-part)) / paceGrain * paceGrain
 		excess -= adds * part
 		at.paceChanged = e.now
-		if pace < moveBelow && r.task.Stage.Step.Checkpointable {
+		if pace < moveBelow && r.task.Stage.Step.Checkpointable && e.on(Moves) {
 			e.moveAway(r, standing)
 		}
 		e.setPace(r, pace, standing)
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -149,12 +149,14 @@
 		if !t.Placeable() {
 			continue
 		}
-		if s.Standing() && t.Run == 0 && !p.spares(s, rooms) {
+		if s.Standing() && t.Run == 0 && p.engine.on(Reserve) && !p.spares(s, rooms) {
 			return
 		}
 		m := p.choose(t, rooms)
 		if m == nil && s.Standing() && t.Run > 0 {
-			p.keepClear(t, rooms)
+			if p.engine.on(KeepClear) {
+				p.keepClear(t, rooms)
+			}
 			continue
 		}
 		if m == nil {
@@ -272,6 +274,9 @@
 		// Like images are disturbed by the same ones. Where they are together,
 		// there are agents left for each kind of opportunistic work.
 		alike := float64(m.images[step.Image]) / float64(m.standing+1)
+		if !p.engine.on(AlikeTogether) {
+			alike = 0
+		}
 		return cost - alikeGain*alike - m.cpu/max(m.capacity, 1)
 	}
 	return cost - 0.5*m.cpu/max(m.capacity, 1)
--- a/internal/sched/drive/rank.go
+++ b/internal/sched/drive/rank.go
@@ -59,6 +59,7 @@
 	}
 	for i := range list {
 		list[i].crowded = queues[list[i].stage.Job.Queue].isCrowded()
+		list[i].byDensity = list[i].crowded && e.on(DensityOrder)
 	}
 }
 
@@ -143,6 +144,8 @@
 	// crowded tells that more waits in its queue than can be done in time.
 	crowded bool
 	slack   time.Duration
+	// byDensity tells that density decides.
+	byDensity bool
 	// density is what the job's end is worth, in mean jobs of its queue, by what is
 	// left to do of it, in mean jobs' work; in steps of densityStep.
 	density int
@@ -156,7 +159,7 @@
 		return r.priority < other.priority
 	case r.prospect != other.prospect:
 		return r.prospect < other.prospect
-	case r.crowded && other.crowded && r.density != other.density:
+	case r.byDensity && other.byDensity && r.density != other.density:
 		return r.density > other.density
 	case r.begun != other.begun:
 		return r.begun
--- /dev/null
+++ b/internal/sched/drive/recall.go
@@ -0,0 +1,42 @@
+// This file defines how what is learned outlives the leader that learned it.
+
+package drive
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"sycamoredeck.example/internal/sched/tails"
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// saveInterval is how often what is learned is committed. Most of what is learned
+// of a pair of images is learned within seconds of their first meeting; at 180
+// pairs a commit takes about 6 KB.
+const saveInterval = 2 * time.Second
+
+// recall takes over what earlier leaders learned. Without it each change of leader
+// costs what the first seconds of a day cost: all pairs of images are tried again,
+// those that harm too.
+func (e *Engine) recall() {
+	e.saved = e.graph.Learned()
+	e.nextSave = e.now + saveInterval
+	if e.on(LearnedKept) && e.saved != nil {
+		e.pressure = tails.Restore(e.saved, e.now)
+	}
+}
+
+// remember has what is learned committed now and then.
+func (e *Engine) remember() {
+	if e.now < e.nextSave || !e.on(LearnedKept) {
+		return
+	}
+	e.nextSave = e.now + saveInterval
+	learned := e.pressure.Save()
+	if len(learned.Pairs) == 0 || proto.Equal(learned, e.saved) {
+		return
+	}
+	e.saved = learned
+	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_Learned{Learned: learned}}, nil)
+}
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -58,7 +58,7 @@
 		}
 		for t, known := range r.runs {
 			m.hold(t.Stage)
-			m.idle -= known.use(e.pressure.Peak(&known.own, e.now+placeAhead))
+			m.idle -= e.claim(known)
 		}
 		rooms[c.Pool] = append(rooms[c.Pool], m)
 	}
@@ -88,7 +88,7 @@
 		target := targetOf(t.Stage.Step)
 		own := usualBusy
 		if r.own.Known {
-			own = e.pressure.Peak(&r.own, e.now+placeAhead)
+			own = e.highest(r)
 		}
 		m.served = append(m.served, e.serves(target, own+e.pressure.Added(target.Image, beside)))
 	}
--- a/internal/sched/drive/watch.go
+++ b/internal/sched/drive/watch.go
@@ -62,7 +62,7 @@
 	}
 	e.learnTails(at)
 	standing := e.longestOver(at)
-	at.halted = standing != nil
+	at.halted = standing != nil && e.on(Halts)
 	if at.halted {
 		e.haltBeside(standing)
 		return
@@ -74,7 +74,7 @@
 		e.slowBeside(worst)
 		return
 	}
-	if e.slowCrowd(at) {
+	if e.on(CrowdSlowing) && e.slowCrowd(at) {
 		return
 	}
 	e.ease(at)
--- /dev/null
+++ b/internal/sched/tails/save.go
@@ -0,0 +1,49 @@
+// This file defines how what is learned is handed to the next leader.
+
+package tails
+
+import (
+	"sort"
+	"time"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// Save returns what is known, in an order of its own.
+func (m *Model) Save() *wire.Learned {
+	saved := &wire.Learned{Swing: &wire.LearnedSwing{
+		Samples: m.Swing.samples, Sum: m.Swing.sum, Squares: m.Swing.squares, Products: m.Swing.products, LagSeconds: m.Swing.lagSeconds,
+	}}
+	for of, known := range m.weights {
+		saved.Pairs = append(saved.Pairs, &wire.LearnedPair{
+			Standing: of.standing, Beside: of.beside, Weight: float32(known.weight), Variance: float32(known.variance),
+		})
+	}
+	sort.Slice(saved.Pairs, func(i, k int) bool {
+		a, b := saved.Pairs[i], saved.Pairs[k]
+		if a.Standing != b.Standing {
+			return a.Standing < b.Standing
+		}
+		return a.Beside < b.Beside
+	})
+	for image, milliseconds := range m.floors {
+		saved.Floors = append(saved.Floors, &wire.LearnedFloor{Image: image, Milliseconds: float32(milliseconds)})
+	}
+	sort.Slice(saved.Floors, func(i, k int) bool { return saved.Floors[i].Image < saved.Floors[k].Image })
+	return saved
+}
+
+// Restore returns a model that knows what was saved, as of now.
+func Restore(saved *wire.Learned, now time.Duration) Model {
+	m := Model{weights: map[pair]estimate{}, floors: map[string]float64{}}
+	if s := saved.GetSwing(); s != nil {
+		m.Swing = Swing{samples: s.Samples, sum: s.Sum, squares: s.Squares, products: s.Products, lagSeconds: s.LagSeconds}
+	}
+	for _, p := range saved.GetPairs() {
+		m.weights[pair{p.Standing, p.Beside}] = estimate{weight: float64(p.Weight), variance: float64(p.Variance), at: now}
+	}
+	for _, f := range saved.GetFloors() {
+		m.floors[f.Image] = float64(f.Milliseconds)
+	}
+	return m
+}
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -49,6 +49,9 @@
 			g.end(at, e)
 		}
 		return Result{}
+	case *wire.WorkCommand_Learned:
+		g.learned = body.Learned
+		return Result{}
 	case *wire.WorkCommand_Forget:
 		g.forget(body.Forget.EndedBefore.AsTime())
 		return Result{}
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -37,6 +37,7 @@
 		ready    map[*Stage]bool
 		pending  map[string]int // accepted jobs without a begun task, by queue
 		sequence uint64
+		learned  *wire.Learned
 		// Changed is called after each command that may have changed what is to
 		// be placed or where it may go; nil is allowed.
 		Changed func()
@@ -64,6 +65,7 @@
 	g.ready = map[*Stage]bool{}
 	g.pending = map[string]int{}
 	g.sequence = 0
+	g.learned = nil
 }
 
 // Catalog returns the catalog in force; version 0 is the empty one. It must
@@ -102,6 +104,10 @@
 	return ok
 }
 
+// Learned is what earlier leaders learned of the work, or nil. It must not be
+// changed.
+func (g *Graph) Learned() *wire.Learned { return g.learned }
+
 // Pending is the number of accepted jobs of a queue of which no task has begun.
 func (g *Graph) Pending(queue string) int { return g.pending[queue] }
 
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -14,7 +14,7 @@
 // Save returns the state for a snapshot. It shares records with the state and
 // must be serialized before the next Apply.
 func (g *Graph) Save() *wire.WorkImage {
-	image := &wire.WorkImage{Catalog: g.catalog, NextSequence: g.sequence, Dropped: map[string]*timestamppb.Timestamp{}}
+	image := &wire.WorkImage{Catalog: g.catalog, NextSequence: g.sequence, Learned: g.learned, Dropped: map[string]*timestamppb.Timestamp{}}
 	for _, j := range g.Jobs() {
 		image.Jobs = append(image.Jobs, saveJob(j))
 	}
@@ -66,6 +66,7 @@
 		g.setCatalog(image.Catalog)
 	}
 	g.sequence = image.NextSequence
+	g.learned = image.Learned
 	for _, r := range image.Agents {
 		g.agents[r.Id] = &Agent{Record: r, Tasks: map[*Task]bool{}}
 	}
