A call that may have been carried out goes on while no quorum answers

A fault of the change that refuses at once without a quorum: that holds for calls that surely were not made. Change: an uncertain call goes on for as long as its caller waits. TestUncertainCallOutlastsSilentConnections fails before and passes after.

--- a/internal/front/uplink/ask.go
+++ b/internal/front/uplink/ask.go
@@ -61,10 +61,10 @@
 // told at once. A call that may have been carried out goes on for as long as its
 // caller waits: the next leader can tell for sure.
 func (u *Uplink) worthWaiting(began time.Time, uncertain bool) bool {
-	if !u.quorumAnswers() {
-		return false
+	if uncertain {
+		return true
 	}
-	return uncertain || u.options.Clock.Now().Sub(began) < leaderWait
+	return u.quorumAnswers() && u.options.Clock.Now().Sub(began) < leaderWait
 }
 
 // askOnce makes one try. It is given up once another leader is known: the one that
--- a/internal/front/uplink/ask_test.go
+++ b/internal/front/uplink/ask_test.go
@@ -146,3 +146,26 @@
 	assert.NilError(t, <-result)
 	assert.DeepEqual(t, o.asked, []string{voters[0], voters[1]})
 }
+
+// Symptom: a caller is told that the outcome of its job is unknown, though its time
+// isn't up and all replicas are well. Sequence: all connections go silent; a call
+// under way ends without an answer, and hellos fail until the connections are
+// replaced. Cause: that no quorum answered for a moment ended the call, which the
+// leader could have settled a second later.
+func TestUncertainCallOutlastsSilentConnections(t *testing.T) {
+	o := newOutage(t, 5)
+	o.hear(voters[0], voters[0], 2)
+	silenced := func(context.Context) error {
+		for _, address := range voters {
+			o.uplink.noteFailed(address)
+			o.uplink.noteFailed(address)
+		}
+		return status.Error(codes.DeadlineExceeded, "silent")
+	}
+	o.answers = append(o.answers, silenced, done)
+	result := make(chan error, 1)
+	go func() { result <- o.ask(t.Context()) }()
+	assert.NilError(t, o.clock.BlockUntilContext(t.Context(), 1))
+	o.clock.Advance(retryPause)
+	assert.NilError(t, <-result)
+}
