--- a/internal/front/uplink/ask.go
+++ b/internal/front/uplink/ask.go
@@ -20,7 +20,7 @@
 	// retryPause is between tries to reach a leader.
 	retryPause = 25 * time.Millisecond
 	// leaderWait is how long a call waits for a leader while replicas that can elect
-	// one answer. 1.0 to 1.8 s passed from the loss of one to the next in eight
+	// one answer. 1.0 to 1.8 s passed from the loss of one to the next in seven
 	// elections that were looked into, and 3.1 s in one; callers wait 3 s in all, so
 	// that a refusal after this leaves them another try.
 	leaderWait = 1200 * time.Millisecond
