Sight: the line about a lost agent names the runs that went along and for how long each was seen

Cause: of an agent that crashed, the log said how many runs it took along. Conclusion: no decision changes by this.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -132,7 +132,8 @@
 	}
 	at.dropping = true
 	agentsDropped.Inc()
-	e.options.Logger.Info("agent given up", "agent", at.record.Id, "address", at.record.Address, "reason", reason, "runs", len(at.runs), "silent", e.now-at.answered)
+	e.options.Logger.Info("agent given up", "agent", at.record.Id, "address", at.record.Address, "reason", reason, "runs", len(at.runs), "silent", e.now-at.answered, "lost", lostText(at))
+	runsLost.Add(len(at.runs))
 	e.saveProgress(at)
 	e.flushEnds() // before it is dropped, or what they save is lost
 	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: at.record.Id, Reason: reason}}},
--- a/internal/sched/drive/meter.go
+++ b/internal/sched/drive/meter.go
@@ -14,6 +14,7 @@
 	runsPlaced     = metrics.NewCounter("sycamoredeck_runs_placed_total")
 	runsEnded      = metrics.NewCounter(`sycamoredeck_runs_ended_total{outcome="all"}`)
 	agentsDropped  = metrics.NewCounter("sycamoredeck_agents_given_up_total")
+	runsLost       = metrics.NewCounter("sycamoredeck_runs_lost_with_agents_total")
 	holdsFailed    = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
 	runsMoved      = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
 	haltsBeside    = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
