--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -147,6 +147,10 @@
 		return drive.RefusedRoom
 	}
 	r.sim.began(r, o)
+	if r.sim.crashing[o.Run.Job] && o.Run.Step == 0 && o.Run.Index == 0 {
+		r.sim.crashUnder(r, o.Run)
+		return drive.NoAnswer
+	}
 	length := time.Duration(step.EstimateMs) * time.Millisecond
 	r.runs[key] = &modelRun{
 		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, pace: 100, began: r.sim.now,
