Tasks that may have crashed an agent are kept apart; a start that tells more counts more

Cause: of the runs that go with an agent at most one is at fault, and all of them were counted. They came to the next agent together, and under load to the one that had just come back, so that those which do no harm reached the limit beside the one that does. Change: a start that the agent had taken less than a second before it went counts to three; what had been there for up to ten seconds, or was never answered, counts to five. Suspects go apart from each other, from starts not yet listed, and to emptier agents; the last try goes first, to an agent where nothing has just come, and nothing comes beside it. When a run was first listed is kept by itself.

--- a/internal/sched/drive/gang.go
+++ b/internal/sched/drive/gang.go
@@ -69,7 +69,7 @@
 	for _, placement := range trial.placed {
 		for _, m := range rooms {
 			if m.agent.record.Id == placement.Agent {
-				m.take(s)
+				m.take(s.Tasks[placement.Id.Index])
 				p.spare[p.engine.poolOf(s.Job)].take(s)
 			}
 		}
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -16,11 +16,15 @@
 const (
 	// maxLostListed bounds the runs that one log line names; each takes about 40 bytes.
 	maxLostListed = 40
+	// startTime is for how long an agent has told that a run is there while it counts as
+	// just started. Tasks that end their agents do so 10 ms after their start, as seen;
+	// where nothing ends, runs are listed each 1.5 s, so that a run which was listed
+	// twice has started.
+	startTime = time.Second
 	// soundAfter is how long an agent has to have told that a run is there before its
-	// end isn't put down to the run. Tasks that end their agents do so as they start
-	// (10 ms were seen); agents live for days. Between the two it is long enough for
-	// slow starts, and short enough that standing tasks, which may see many agents go,
-	// aren't blamed for them.
+	// end isn't put down to the run at all: far more than startTime, far less than the
+	// days that agents live. Standing tasks, which may see many agents go, aren't blamed
+	// for them.
 	soundAfter = 10 * time.Second
 )
 
@@ -46,10 +50,11 @@
 			continue
 		}
 		outcome := wire.RunOutcome_RUN_OUTCOME_LOST
-		if crashed && r.seenFor() < soundAfter {
-			outcome = wire.RunOutcome_RUN_OUTCOME_CRASHED
-		} else if r.checkpoint == "" {
-			continue
+		if crashed {
+			outcome = r.crashOutcome()
+		}
+		if outcome == wire.RunOutcome_RUN_OUTCOME_LOST && r.checkpoint == "" {
+			continue // that it is gone is told by dropping the agent
 		}
 		r.ending = true
 		ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: at.record.Id, Outcome: outcome, Checkpoint: r.checkpoint})
@@ -59,9 +64,25 @@
 	}
 }
 
-// seenFor is how long the agent has told that the run is there; 0 for one that it
-// never listed.
-func (r *run) seenFor() time.Duration { return max(r.confirmedAt-r.startedAt, 0) }
+// crashOutcome is how a run ended whose agent has crashed. A start without an answer
+// may never have reached the agent, which may have been dark by then, so it counts less
+// than one that the agent took. A task that ends agents before they answer is still
+// given up, two agents later.
+func (r *run) crashOutcome() wire.RunOutcome {
+	neverSent := r.sends == 0 && r.phase != phaseUnknown
+	switch {
+	case r.seenAt == 0 && neverSent, r.seenFor() >= soundAfter:
+		return wire.RunOutcome_RUN_OUTCOME_LOST
+	case r.seenAt != 0 && r.seenFor() < startTime:
+		return wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START
+	default:
+		return wire.RunOutcome_RUN_OUTCOME_CRASHED
+	}
+}
+
+// seenFor is for how long the agent has told that the run is there; 0 for one that it
+// never told of, or but once.
+func (r *run) seenFor() time.Duration { return r.confirmedAt - r.seenAt }
 
 // lostText lists the runs on an agent that is given up, those seen for the shortest
 // time first, each as TASK#RUN:SEEN:CRASHES with the crashes before this one. A task that ends its agents stands near the front
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -161,7 +161,7 @@
 			delete(p.engine.clearing, t)
 			p.take(t, m, t.Run+1)
 			f.taken(m)
-		case s.Standing() && t.Run > 0:
+		case s.Standing() && t.Run > 0 || t.OnLastTry():
 			if p.engine.on(KeepClear) {
 				p.keepClear(t, rooms)
 			}
@@ -210,7 +210,7 @@
 }
 
 func (p *pass) take(t *graph.Task, m *room, number uint32) {
-	m.take(t.Stage)
+	m.take(t)
 	if known := p.spare[p.engine.poolOf(t.Stage.Job)]; known != nil {
 		known.take(t.Stage)
 	}
--- a/internal/sched/drive/rank.go
+++ b/internal/sched/drive/rank.go
@@ -116,8 +116,10 @@
 
 // ranked is a stage with what decides when it is served.
 type ranked struct {
-	stage    *graph.Stage
-	again    bool // standing work that ran before
+	stage *graph.Stage
+	// first tells that it goes before all else: standing work that ran before, and last
+	// tries, which have to find an agent where nothing has just been started.
+	first    bool
 	priority uint32
 	prospect int
 	begun    bool
@@ -144,8 +146,8 @@
 
 func (r *ranked) before(other *ranked) bool {
 	switch {
-	case r.again != other.again:
-		return r.again
+	case r.first != other.first:
+		return r.first
 	case r.priority != other.priority:
 		return r.priority < other.priority
 	case r.prospect != other.prospect:
@@ -177,7 +179,7 @@
 	objective := e.objective(s, q)
 	age := wall.Sub(begin)
 	r := ranked{stage: s, priority: q.GetPriority(), begun: s.Job.Begun()}
-	r.again = s.Standing() && s.Ran()
+	r.first = s.Standing() && s.Ran() || s.OnLastTry()
 	r.slack = objective - s.Longest - age
 	if r.slack < 0 {
 		r.prospect = late
--- a/internal/sched/drive/reserve.go
+++ b/internal/sched/drive/reserve.go
@@ -87,10 +87,10 @@
 	}
 }
 
-// keepClear lets room for a standing task that ran before grow on one agent:
-// nothing else is placed there until it fits. Its place is first in each pass,
-// but short tasks would fill every gap before it is large enough. The same agent
-// is kept from pass to pass.
+// keepClear lets room for a standing task that ran before, or one on its last try, grow
+// on one agent: nothing else is placed there until it fits. Its place is first in each
+// pass, but short tasks would fill every gap before it is large enough, or fresh ones
+// would always be there. The same agent is kept from pass to pass.
 func (p *pass) keepClear(t *graph.Task, rooms []*room) {
 	var best *room
 	for _, m := range rooms {
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -36,6 +36,10 @@
 		stages     map[*graph.Stage]int
 		// ordinary is the cpu of ordinary tasks there, which end before long.
 		ordinary float64
+		// suspects are the tasks there that may end the agent, fresh the runs that it
+		// hasn't listed yet; lastTry tells that a suspect is on its last try.
+		suspects, fresh int
+		lastTry         bool
 		// heldFor is the stage that this room is kept clear for, or nil.
 		heldFor *graph.Stage
 	}
@@ -105,6 +109,7 @@
 	for t, known := range at.runs {
 		m.hold(t.Stage)
 		m.idle -= e.claim(known)
+		m.doubt(t, known.seenFor())
 	}
 }
 
@@ -153,12 +158,13 @@
 	return adds, bearable
 }
 
-// take gives a task of a stage its place, for this pass: what became of it is known
-// once it is committed.
-func (m *room) take(s *graph.Stage) {
+// take gives a task its place, for this pass: what became of it is known once it is
+// committed.
+func (m *room) take(t *graph.Task) {
 	m.agent.roomStale = true
-	m.hold(s)
-	m.idle -= expectedUse(s.Step)
+	m.hold(t.Stage)
+	m.doubt(t, 0)
+	m.idle -= expectedUse(t.Stage.Step)
 }
 
 // hold takes what a task of a stage has declared for itself alone.
@@ -184,7 +190,7 @@
 func (m *room) fits(s *graph.Stage) bool {
 	step := s.Step
 	switch {
-	case m.heldFor != nil && m.heldFor != s:
+	case m.lastTry || m.heldFor != nil && m.heldFor != s:
 		return false
 	case !step.Opportunistic && m.cpu < float64(step.CpuMillis):
 		return false
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -57,6 +57,7 @@
 	startedAt      time.Duration // when it was first known to run
 	closedAt       time.Duration // when it was closed
 	confirmedAt    time.Duration // when the agent last said that it is there
+	seenAt         time.Duration // when it first said so; 0 before
 
 	stopReason string
 	stopping   bool // a stop is on its way
@@ -96,7 +97,15 @@
 		r.checkpoint = s.Checkpoint
 	}
 	r.usage, r.usageAt = s.Usage, now
+	r.confirm(now)
+}
+
+// confirm notes that the agent said that the run is there.
+func (r *run) confirm(now time.Duration) {
 	r.confirmedAt = now
+	if r.seenAt == 0 {
+		r.seenAt = now
+	}
 }
 
 // wantsStop tells why a run should be stopped; empty when it shouldn't.
@@ -238,7 +247,8 @@
 	switch a.Verdict {
 	case Accepted:
 		r.phase = phaseRunning
-		r.startedAt, r.progressAt, r.confirmedAt = e.now, e.now, e.now
+		r.startedAt, r.progressAt = e.now, e.now
+		r.confirm(e.now)
 		if since, ok := e.readySince[r.task.Stage]; ok && r.number == 1 {
 			readyToStart.Update((e.now - since).Seconds())
 		}
--- a/internal/sched/drive/search.go
+++ b/internal/sched/drive/search.go
@@ -141,10 +141,11 @@
 	if t.AvoidAgent == id && t.Stage.Step.Opportunistic {
 		return math.Inf(1)
 	}
+	cost := r.cost + r.room.risk(t)
 	if t.LastFailedOn == id {
-		return r.cost + failedThereCost
+		cost += failedThereCost
 	}
-	return r.cost
+	return cost
 }
 
 // taken rates a room anew that has taken a task.
--- /dev/null
+++ b/internal/store/graph/crash_test.go
@@ -0,0 +1,61 @@
+// This file defines the tests of how crashes of agents are counted for tasks.
+
+package graph
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// A task that ended one agent after the other was started again for as long as there
+// were agents, 35 times in two minutes: agents that go down report no end, so no
+// attempt was counted. These are the counts that end it, and they outlive a replica's
+// restart, which begins with a snapshot.
+func TestCrashesAreCounted(t *testing.T) {
+	const (
+		late    = wire.RunOutcome_RUN_OUTCOME_CRASHED
+		atStart = wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START
+		lost    = wire.RunOutcome_RUN_OUTCOME_LOST
+		running = wire.WorkState_WORK_STATE_RUNNING
+		failed  = wire.WorkState_WORK_STATE_FAILED
+	)
+	cases := []struct {
+		name     string
+		standing bool
+		ends     []wire.RunOutcome
+		want     wire.WorkState
+		lastTry  bool
+	}{
+		{"two at the start", false, []wire.RunOutcome{atStart, atStart}, running, true},
+		{"three at the start", false, []wire.RunOutcome{atStart, atStart, atStart}, failed, false},
+		{"three at the start, standing", true, []wire.RunOutcome{atStart, atStart, atStart}, failed, false},
+		{"three, one of them late", false, []wire.RunOutcome{atStart, late, atStart}, running, true},
+		{"four late", false, []wire.RunOutcome{late, late, late, late}, running, true},
+		{"five late", false, []wire.RunOutcome{late, late, late, late, late}, failed, false},
+		{"many lost otherwise", false, []wire.RunOutcome{lost, lost, lost, lost, lost, lost}, running, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := prepared(t, &wire.Step{Count: 1, Standing: c.standing})
+			for i, outcome := range c.ends {
+				id := runOf(0, 0, uint32(i+1))
+				assert.NilError(t, g.Apply(noon, placeCommand("a1", id)).Placed[0])
+				end := endCommand("a1", id, outcome)
+				g.Apply(noon, end)
+				g.Apply(noon, end) // told again, it counts once
+				loaded := New()
+				loaded.Load(g.Save())
+				assert.Assert(t, proto.Equal(loaded.Save(), g.Save()), "a snapshot loses it")
+				g = loaded
+			}
+			assert.Equal(t, g.Job(jobID).State, c.want)
+			if task := g.Find(runOf(0, 0, 1)); task != nil {
+				assert.Equal(t, task.OnLastTry(), c.lastTry)
+			}
+		})
+	}
+}
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -58,7 +58,8 @@
 				}
 				saved.Tasks = append(saved.Tasks, &wire.WorkTask{
 					Occurrence: s.Occurrence, Step: s.Index, Index: t.Index, Run: t.Run, Failures: t.Failures,
-					Done: t.Done, Checkpoint: t.Checkpoint, Agent: t.Agent, Crashes: t.Crashes,
+					Done: t.Done, Checkpoint: t.Checkpoint, Agent: t.Agent,
+					Crashes: t.Crashes, StartCrashes: t.StartCrashes,
 				})
 			}
 		}
@@ -126,7 +127,7 @@
 	s := j.Occurrences[saved.Occurrence][saved.Step]
 	t := s.Tasks[saved.Index]
 	t.Run, t.Failures, t.Done, t.Checkpoint = saved.Run, saved.Failures, saved.Done, saved.Checkpoint
-	t.Crashes = saved.Crashes
+	t.Crashes, t.StartCrashes = saved.Crashes, saved.StartCrashes
 	if saved.Agent != "" {
 		t.Agent = saved.Agent
 		g.agents[saved.Agent].Tasks[t] = true
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -55,9 +55,10 @@
 		Run      uint32 // number of its latest run; 0 before the first
 		Failures uint32
 		// Crashes counts the agents that ended without notice soon after a run of the
-		// task had come there. Any of them may be its doing.
-		Crashes uint32
-		Done    bool
+		// task had come there, StartCrashes those of them on which it had just been
+		// started. Any of them may be its doing.
+		Crashes, StartCrashes uint32
+		Done                  bool
 		// Checkpoint is what the next run resumes from; empty for none.
 		Checkpoint string
 		// Agent is where the latest run may exist; empty when it surely
@@ -84,7 +85,9 @@
 func (t *Task) Suspect() bool { return t.Crashes > 0 }
 
 // OnLastTry tells whether one more crash under the task fails its job.
-func (t *Task) OnLastTry() bool { return t.Crashes == MaxCrashes-1 }
+func (t *Task) OnLastTry() bool {
+	return t.StartCrashes == MaxStartCrashes-1 || t.Crashes == MaxCrashes-1
+}
 
 // Ended tells whether a job has reached its final state.
 func (j *Job) Ended() bool {
@@ -104,6 +107,17 @@
 	return false
 }
 
+// OnLastTry tells whether a task of the stage that waits to be placed is on its last
+// try.
+func (s *Stage) OnLastTry() bool {
+	for _, t := range s.Tasks {
+		if t.Placeable() && t.OnLastTry() {
+			return true
+		}
+	}
+	return false
+}
+
 // Left is the number of tasks that haven't ended.
 func (s *Stage) Left() int { return len(s.Tasks) - s.done }
 
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -12,11 +12,15 @@
 const (
 	// defaultMaxAttempts is used where a job's queue is gone or names no limit.
 	defaultMaxAttempts = 3
-	// MaxCrashes is how many agents may crash under a task before its job fails. Each
-	// one takes all that runs there along, so few; but of the runs that go with an
-	// agent at most one is the cause, so a task isn't given up for one crash, nor for a
-	// second that happened to hit it again.
-	MaxCrashes = 3
+	// MaxStartCrashes is how many agents may crash as a task starts there before its job
+	// fails. Each one takes all that runs there along, so few; but of the runs that go
+	// with an agent at most one is the cause, so a task isn't given up for one crash, nor
+	// for a second that happened to hit it again. The third start is made apart from all
+	// others, so that it tells.
+	MaxStartCrashes = 3
+	// MaxCrashes is the same for all crashes soon after a task had come to the agent. A
+	// task that works for a while first can't be told from those beside it, so more.
+	MaxCrashes = 5
 )
 
 func (g *Graph) place(p *wire.PlaceRuns) Result {
@@ -87,7 +91,9 @@
 	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED && !t.Stage.Standing():
 		g.endFailed(at, t)
 	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED:
-		g.endCrashed(at, t)
+		g.endCrashed(at, t, false)
+	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START:
+		g.endCrashed(at, t, true)
 	default:
 		if e.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
 			t.LastFailedOn = t.Agent
@@ -167,13 +173,16 @@
 // reports no end, so the limit of attempts never sees a task that takes its agents
 // down: without this one it would be started on one agent after the other for as long
 // as there are any.
-func (g *Graph) endCrashed(at time.Time, t *Task) {
+func (g *Graph) endCrashed(at time.Time, t *Task, atStart bool) {
 	g.release(t)
 	if t.Done {
 		return
 	}
 	t.Crashes++
-	if t.Crashes >= MaxCrashes {
+	if atStart {
+		t.StartCrashes++
+	}
+	if t.Crashes >= MaxCrashes || t.StartCrashes >= MaxStartCrashes {
 		g.finish(at, t.Stage.Job, wire.WorkState_WORK_STATE_FAILED)
 	}
 }
