Decisions don't depend on the order of a map

The engine went over agents and runs as maps give them: which of two slowed runs goes on, in which order orders leave, in which order fractions are added, differed from run to run. Excluded: the order in which slowed runs are let go (the one nearest to its end first gave the same 29 jobs). Change: agents are gone over by id, their runs by job, step and task, loads by image.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -36,7 +36,10 @@
 type agent struct {
 	record *wire.Agent
 	runs   map[*graph.Task]*run
-	clock  agentClock
+	// ordered are the same runs by job, step and task. A map has no order, and what is
+	// decided must not depend on chance: a day could not be played again.
+	ordered []*run
+	clock   agentClock
 	// synced is set by the first answer under this leader's fence: from then
 	// on no order of an earlier leader can be carried out.
 	synced    bool
@@ -76,7 +79,7 @@
 func (e *Engine) newAgent(registered *graph.Agent) *agent {
 	at := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now, roomStale: true}
 	e.agents[registered.Record.Id] = at
-	e.pools = nil
+	e.pools, e.sorted = nil, nil
 	return at
 }
 
@@ -180,7 +183,7 @@
 // has answered there: a new process at the same place is proof that the old
 // one has ended, and all that ran in it.
 func (e *Engine) dropPredecessors(at *agent) {
-	for _, other := range e.agents {
+	for _, other := range e.byID() {
 		if other != at && other.record.Address == at.record.Address {
 			e.dropAgent(other, replaced, "another incarnation answered at its address")
 		}
--- a/internal/sched/drive/crowd.go
+++ b/internal/sched/drive/crowd.go
@@ -75,9 +75,9 @@
 // use at the paces that are wanted, when a change of pace made now shows.
 func (e *Engine) crowding(at *agent) float64 {
 	sum := 0.0
-	for t, r := range at.runs {
+	for _, r := range at.ordered {
 		use := r.use(e.pressure.Expect(&r.own, e.now+paceAhead))
-		if t.Stage.Step.Opportunistic {
+		if r.task.Stage.Step.Opportunistic {
 			use *= float64(r.wantedPace) / fullPace
 		}
 		sum += use
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -70,7 +70,10 @@
 		// pools are the agents by pool, in the order of their ids; nil when they are to
 		// be sorted anew. lists are the rooms of the latest pass, kept for their memory.
 		pools map[string][]*agent
-		lists map[string][]*room
+		// sorted are all agents in the order of their ids; nil when they are to be sorted
+		// anew.
+		sorted []*agent
+		lists  map[string][]*room
 		// loads are what runs, kept as runs come and go.
 		loads map[loadKey]float64
 		// searched is where the next search for an agent begins, where not all are
@@ -150,7 +153,7 @@
 	e.runs = map[*graph.Task]*run{}
 	e.touched = map[string]bool{}
 	e.ended = endings{}
-	e.pools, e.lists = nil, map[string][]*room{}
+	e.pools, e.sorted, e.lists = nil, nil, map[string][]*room{}
 	e.loads = map[loadKey]float64{}
 	e.line, e.fresh = line{}, nil
 	e.readySince = map[*graph.Stage]time.Duration{}
--- a/internal/sched/drive/follow.go
+++ b/internal/sched/drive/follow.go
@@ -4,6 +4,8 @@
 package drive
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"sycamoredeck.example/internal/schema/wire"
@@ -23,7 +25,7 @@
 
 // followGraph makes the soft state match the replicated one where that changed.
 func (e *Engine) followGraph() {
-	for id := range e.touched {
+	for _, id := range slices.Sorted(maps.Keys(e.touched)) {
 		delete(e.touched, id)
 		e.followAgent(id)
 	}
@@ -34,7 +36,7 @@
 	if registered == nil {
 		if at != nil {
 			delete(e.agents, id)
-			e.pools = nil
+			e.pools, e.sorted = nil, nil
 			e.dropRuns(at)
 		}
 		return
@@ -47,8 +49,8 @@
 	for t := range registered.Tasks {
 		e.followTask(at, t)
 	}
-	for t, r := range at.runs {
-		if t.Agent != id || t.Run != r.number {
+	for _, r := range at.ordered {
+		if r.task.Agent != id || r.task.Run != r.number {
 			e.endRun(r)
 		}
 	}
@@ -64,7 +66,7 @@
 	}
 	r := &run{task: t, number: t.Run, agent: at, phase: phaseUnknown, pace: unknownPace, wantedPace: fullPace, firstAt: e.now}
 	e.runs[t] = r
-	at.runs[t] = r
+	at.addRun(r)
 	e.loads[loadOf(t)] += float64(t.Stage.Step.CpuMillis)
 	at.touch()
 }
@@ -86,7 +88,7 @@
 }
 
 func (e *Engine) dropRuns(at *agent) {
-	for _, r := range at.runs {
+	for _, r := range at.ordered {
 		e.endRun(r)
 	}
 }
@@ -96,7 +98,7 @@
 		return
 	}
 	delete(e.runs, r.task)
-	delete(r.agent.runs, r.task)
+	r.agent.removeRun(r)
 	key := loadOf(r.task)
 	e.loads[key] -= float64(r.task.Stage.Step.CpuMillis)
 	if e.loads[key] == 0 {
@@ -117,13 +119,13 @@
 
 // tend looks after the agents of which something was heard or is due.
 func (e *Engine) tend() {
-	for _, at := range e.agents {
+	for _, at := range e.byID() {
 		if e.now < at.tendAt {
 			continue
 		}
 		at.tendAt = e.now + calmTend
 		e.tendAgent(at)
-		for _, r := range at.runs {
+		for _, r := range at.ordered {
 			e.tendRun(r)
 		}
 		at.tendAt = min(at.tendAt, e.dueAt(at))
@@ -144,7 +146,7 @@
 
 // waits tells whether an order about a run on the agent is to be sent, or sent again.
 func (r *agent) waits() bool {
-	for _, known := range r.runs {
+	for _, known := range r.ordered {
 		if known.waits() {
 			return true
 		}
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -45,7 +45,7 @@
 func (e *Engine) endLost(at *agent, why departure) {
 	crashed := why == replaced && !at.record.Leaving
 	var ends []*wire.RunEnd
-	for _, r := range at.runs {
+	for _, r := range at.ordered {
 		if r.ending {
 			continue
 		}
@@ -88,11 +88,8 @@
 // time first, each as TASK#RUN:SEEN:CRASHES with the crashes before this one. A task that ends its agents stands near the front
 // of each of these lines; one that was only there is found in one of them.
 func lostText(at *agent) string {
-	runs := make([]*run, 0, len(at.runs))
-	for _, r := range at.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int {
+	runs := slices.Clone(at.ordered)
+	slices.SortStableFunc(runs, func(a, b *run) int {
 		return cmp.Or(cmp.Compare(a.seenFor(), b.seenFor()), cmp.Compare(b.firstAt, a.firstAt))
 	})
 	var text strings.Builder
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -95,28 +95,21 @@
 }
 
 // slowable are the opportunistic runs on an agent that work and aren't being
-// stopped, by job, step and task: a map has no order, and what is chosen among
-// equals must not depend on chance.
+// stopped, by job, step and task.
 func slowable(at *agent) []*run {
 	var list []*run
-	for t, r := range at.runs {
-		if t.Stage.Step.Opportunistic && r.phase == phaseRunning && r.wantedPace > 0 && r.stopReason == "" {
+	for _, r := range at.ordered {
+		if r.task.Stage.Step.Opportunistic && r.phase == phaseRunning && r.wantedPace > 0 && r.stopReason == "" {
 			list = append(list, r)
 		}
 	}
-	sort.Slice(list, func(i, k int) bool {
-		a, b := list[i].task, list[k].task
-		if a.Stage != b.Stage {
-			return a.Stage.Before(b.Stage)
-		}
-		return a.Index < b.Index
-	})
 	return list
 }
 
 // ease lets a slowed run go again where no standing run is expected to suffer.
 func (e *Engine) ease(at *agent) {
-	for t, r := range at.runs {
+	for _, r := range at.ordered {
+		t := r.task
 		if !t.Stage.Step.Opportunistic || r.wantedPace >= fullPace || r.phase != phaseRunning || r.stopReason != "" {
 			continue
 		}
@@ -134,7 +127,8 @@
 	if e.crowding(at)+share > roomyUse {
 		return false
 	}
-	for t, r := range at.runs {
+	for _, r := range at.ordered {
+		t := r.task
 		if t.Stage.Step.TailTargetMs == 0 || r.phase != phaseRunning {
 			continue
 		}
@@ -148,8 +142,8 @@
 
 // letAllGo ends all slowing where there is no standing run any more.
 func (e *Engine) letAllGo(at *agent) {
-	for t, r := range at.runs {
-		if t.Stage.Step.Opportunistic {
+	for _, r := range at.ordered {
+		if r.task.Stage.Step.Opportunistic {
 			e.setPace(r, fullPace, nil)
 		}
 	}
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -3,7 +3,6 @@
 package drive
 
 import (
-	"sort"
 	"time"
 
 	"sycamoredeck.example/internal/sched/tails"
@@ -72,12 +71,9 @@
 
 func (e *Engine) sortAgents() {
 	e.pools, e.lists = map[string][]*agent{}, map[string][]*room{}
-	for _, at := range e.agents {
+	for _, at := range e.byID() {
 		e.pools[at.record.Pool] = append(e.pools[at.record.Pool], at)
 	}
-	for _, list := range e.pools {
-		sort.Slice(list, func(i, k int) bool { return list[i].record.Id < list[k].record.Id })
-	}
 }
 
 // roomOf is what an agent has left. It is worked out anew only where something
@@ -106,10 +102,10 @@
 		idle: float64(c.CpuMillis) * roomyUse, capacity: float64(c.CpuMillis),
 		stages: m.stages, images: m.images, served: m.served[:0],
 	}
-	for t, known := range at.runs {
-		m.hold(t.Stage)
+	for _, known := range at.ordered {
+		m.hold(known.task.Stage)
 		m.idle -= e.claim(known)
-		m.doubt(t, known.seenFor())
+		m.doubt(known.task, known.seenFor())
 	}
 }
 
@@ -121,16 +117,16 @@
 	}
 	m.tailsKnown = true
 	beside := tails.Load{}
-	for t, r := range m.agent.runs {
-		if t.Stage.Step.Opportunistic && r.stopReason == "" {
-			beside[t.Stage.Step.Image] += r.fullShare()
+	for _, r := range m.agent.ordered {
+		if step := r.task.Stage.Step; step.Opportunistic && r.stopReason == "" {
+			beside[step.Image] += r.fullShare()
 		}
 	}
-	for t, r := range m.agent.runs {
-		if t.Stage.Step.TailTargetMs == 0 {
+	for _, r := range m.agent.ordered {
+		if r.task.Stage.Step.TailTargetMs == 0 {
 			continue
 		}
-		target := targetOf(t.Stage.Step)
+		target := targetOf(r.task.Stage.Step)
 		own := usualBusy
 		if r.own.Known {
 			own = e.highest(r)
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -296,7 +296,7 @@
 	if len(a.Ended) >= maxEndsListed {
 		return // the list may be cut off
 	}
-	for _, r := range at.runs {
+	for _, r := range at.ordered {
 		if r.listedAt == e.now || r.ending {
 			continue
 		}
--- a/internal/sched/drive/watch.go
+++ b/internal/sched/drive/watch.go
@@ -4,7 +4,9 @@
 package drive
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"sycamoredeck.example/internal/sched/tails"
@@ -94,11 +96,11 @@
 // that may be through what works beside it, or for too long; else nil.
 func (e *Engine) longestOver(at *agent) *run {
 	var longest *run
-	for t, r := range at.runs {
+	for _, r := range at.ordered {
 		if !e.tellsTail(r) {
 			continue
 		}
-		target := float64(t.Stage.Step.TailTargetMs)
+		target := float64(r.task.Stage.Step.TailTargetMs)
 		near := float64(r.usage) > target*nearShare
 		switch {
 		case float64(r.usage) < target*clearShare:
@@ -150,7 +152,7 @@
 func (e *Engine) worstOff(at *agent) *run {
 	var worst *run
 	worstOver := 0.0
-	for _, r := range at.runs {
+	for _, r := range at.ordered {
 		if !e.tellsTail(r) {
 			continue
 		}
@@ -180,9 +182,9 @@
 		r.beside = tails.Load{}
 	}
 	clear(r.beside)
-	for t, known := range r.runs {
-		if t.Stage.Step.Opportunistic && known.phase == phaseRunning {
-			r.beside[t.Stage.Step.Image] += known.shareNow()
+	for _, known := range r.ordered {
+		if step := known.task.Stage.Step; step.Opportunistic && known.phase == phaseRunning {
+			r.beside[step.Image] += known.shareNow()
 		}
 	}
 }
@@ -193,7 +195,7 @@
 		return
 	}
 	latest, beside, unsure := at.besideSince(e.now)
-	for _, r := range at.runs {
+	for _, r := range at.ordered {
 		if e.tellsTail(r) {
 			e.learnTail(r, beside, unsure)
 		}
@@ -205,19 +207,21 @@
 // on average since the latest reading, and how far that may be off.
 func (r *agent) besideSince(now time.Duration) (latest map[*run]float64, beside, unsure tails.Load) {
 	latest, beside, unsure = map[*run]float64{}, tails.Load{}, tails.Load{}
-	for t, known := range r.runs {
-		if !t.Stage.Step.Opportunistic || known.phase != phaseRunning {
+	for _, known := range r.ordered {
+		step := known.task.Stage.Step
+		if !step.Opportunistic || known.phase != phaseRunning {
 			continue
 		}
 		latest[known] = known.shareNow()
 		mean, off := known.shareSince(r.besideAt, now, latest[known])
-		beside[t.Stage.Step.Image] += mean
-		unsure[t.Stage.Step.Image] += off
+		beside[step.Image] += mean
+		unsure[step.Image] += off
 	}
-	for known, share := range r.latest {
+	for _, known := range slices.SortedFunc(maps.Keys(r.latest), compareRuns) {
 		if _, there := latest[known]; there {
 			continue
 		}
+		share := r.latest[known]
 		// What has ended since worked for some part of the time.
 		image := known.task.Stage.Step.Image
 		beside[image] += share / 2
--- a/internal/sched/tails/own.go
+++ b/internal/sched/tails/own.go
@@ -176,7 +176,7 @@
 // unsure is the variance of what a load adds for what isn't sure of its time.
 func (m *Model) unsure(r Reading) float64 {
 	sum := 0.0
-	for image, share := range r.Unsure {
+	for image, share := range r.Unsure.sorted() {
 		off := m.Weight(r.Target.Image, image) * share
 		sum += off * off
 	}
--- a/internal/sched/tails/tails.go
+++ b/internal/sched/tails/tails.go
@@ -15,7 +15,9 @@
 package tails
 
 import (
+	"iter"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -99,7 +101,7 @@
 // Added is what a load adds to the utilization of a standing task.
 func (m *Model) Added(standing string, beside Load) float64 {
 	sum := 0.0
-	for image, share := range beside {
+	for image, share := range beside.sorted() {
 		sum += m.Weight(standing, image) * share
 	}
 	return sum
@@ -108,7 +110,7 @@
 // Doubt is how far Added may be off, by the variances of the weights.
 func (m *Model) Doubt(standing string, beside Load) float64 {
 	sum := 0.0
-	for image, share := range beside {
+	for image, share := range beside.sorted() {
 		variance := firstVariance
 		if known, ok := m.weights[pair{standing, image}]; ok {
 			variance = known.variance
@@ -125,7 +127,7 @@
 		m.weights = map[pair]estimate{}
 	}
 	noise := variance
-	for image, share := range change {
+	for image, share := range change.sorted() {
 		known := m.aged(standing, image, now)
 		noise += known.variance * share * share
 		m.weights[pair{standing, image}] = known
@@ -152,6 +154,24 @@
 	return known
 }
 
+// sorted goes over a load in the order of the images. A sum of fractions depends on
+// the order of its terms, and what is decided on it must not depend on chance.
+func (l Load) sorted() iter.Seq2[string, float64] {
+	return func(yield func(string, float64) bool) {
+		var few [16]string // on the stack; agents have fewer images beside a task
+		images := few[:0]
+		for image := range l {
+			images = append(images, image)
+		}
+		slices.Sort(images)
+		for _, image := range images {
+			if !yield(image, l[image]) {
+				return
+			}
+		}
+	}
+}
+
 // After is the load that came since an earlier one; less where it went.
 func (l Load) After(earlier Load) Load {
 	change := Load{}
