--- /dev/null
+++ b/internal/sched/plan/crash_test.go
@@ -0,0 +1,47 @@
+// This file defines the test of jobs that end the workers on which they start.
+
+package plan_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// Workers go down one after the other, each as it starts one and the same job, for as
+// long as there are any. A worker that goes down reports no failure; its jobs are queued
+// again as those of a lost worker, which no limit counts, and come to the next one
+// together.
+func TestJobThatCrashesWorkersIsGivenUp(t *testing.T) {
+	const most = 5 // workers that one job may end
+	for seed := range uint64(30) {
+		s := newSim(seed, 6)
+		jobs := 0
+		for range 40 {
+			for range 3 {
+				s.submit(fmt.Sprint("j", jobs), "a", false)
+				jobs++
+			}
+			if jobs%30 == 0 {
+				id := fmt.Sprint("crashing", jobs)
+				s.crashing[id] = true
+				s.submit(id, "a", false)
+			}
+			s.run(time.Second)
+		}
+		s.run(3 * time.Minute)
+		assert.Assert(t, len(s.broken) == 0, "seed %d: %v", seed, s.broken)
+		for id := range s.crashing {
+			assert.Equal(t, s.machine.Job(id).State, wire.JobState_JOB_STATE_FAILED, "seed %d: %s ended %d workers", seed, id, s.crashes[id])
+			assert.Assert(t, s.crashes[id] <= most, "seed %d: %s ended %d workers", seed, id, s.crashes[id])
+		}
+		for i := range jobs {
+			j := s.machine.Job(fmt.Sprint("j", i))
+			assert.Equal(t, j.State, wire.JobState_JOB_STATE_FINISHED, "seed %d: job %d, beside those that crash workers", seed, i)
+		}
+	}
+}
--- a/internal/sched/plan/sim_test.go
+++ b/internal/sched/plan/sim_test.go
@@ -66,7 +66,11 @@
 		queue   []simMessage
 		commits []simCommit
 
-		leaders   []*simLeader // the last one leads; earlier ones may think so
+		leaders []*simLeader // the last one leads; earlier ones may think so
+		// crashing are the jobs that end every worker that starts them, crashes how many
+		// each has ended.
+		crashing  map[string]bool
+		crashes   map[string]int
 		ran       map[string]int
 		doing     map[string]string
 		broken    []string
@@ -84,7 +88,7 @@
 func newSim(seed uint64, workers int) *sim {
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), machine: state.New(state.Options{Retention: time.Hour}),
-		ran: map[string]int{}, doing: map[string]string{},
+		crashing: map[string]bool{}, crashes: map[string]int{}, ran: map[string]int{}, doing: map[string]string{},
 	}
 	need := &wire.Resources{MilliProcessors: 1000, MemoryBytes: 1}
 	s.machine.Apply(&wire.Command{Body: &wire.Command_ApplyConfiguration{ApplyConfiguration: &wire.ApplyConfigurationRequest{
@@ -203,9 +207,7 @@
 		s.drop(w)
 	}
 	if s.chance(0.0003) {
-		s.drop(w)
-		clear(w.tasks)
-		w.incarnation, w.sequence, w.leaseEnd = w.incarnation+"x", 0, time.Time{}
+		s.restart(w)
 	}
 	for _, id := range sortedTasks(w) {
 		s.advance(w, id, w.tasks[id])
@@ -215,6 +217,13 @@
 	}
 }
 
+// restart ends a worker's process with all that runs there, and starts the next one.
+func (s *sim) restart(w *simWorker) {
+	s.drop(w)
+	clear(w.tasks)
+	w.incarnation, w.sequence, w.leaseEnd = w.incarnation+"x", 0, time.Time{}
+}
+
 func sortedTasks(w *simWorker) []string {
 	ids := make([]string, 0, len(w.tasks))
 	for id := range w.tasks {
@@ -321,6 +330,11 @@
 		if other, busy := s.doing[o.JobId]; busy && other != w.id && s.holdsLease(other) {
 			s.broken = append(s.broken, fmt.Sprintf("%v: job %s starts on %s while it runs on %s", s.now.Sub(time.Unix(1000, 0)), o.JobId, w.id, other))
 		}
+		if s.crashing[o.JobId] {
+			s.crashes[o.JobId]++
+			s.restart(w)
+			return
+		}
 		s.doing[o.JobId] = w.id
 		w.tasks[o.JobId] = &simTask{order: o, left: 5 + s.random.IntN(60)}
 	case wire.OrderKind_ORDER_KIND_STOP:
