No start brings an agent over a room that has shrunk

Cause: agents' rooms may now shrink while they run. Change: a start is given up where the runs have declared more than there is; in pools without guard a new leader starts nothing on an agent until it has reported, or for 1.5 s.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -30,6 +30,10 @@
 	// refusalPause keeps new work from an agent that refused a start, for its
 	// room or because it is unwell.
 	refusalPause = 300 * time.Millisecond
+	// reportTime is how long after the begin of a leadership all agents have reported what
+	// has changed while there was no leader: they report each 1.1 s, and are told again
+	// at once where a report isn't acknowledged.
+	reportTime = 1500 * time.Millisecond
 )
 
 // agent is the soft state of a registered incarnation.
@@ -54,8 +58,10 @@
 	dropping  bool
 	restUntil time.Duration
 	leaveBy   time.Duration // when a leaving agent ends; 0 when unknown
-	// reportSequence is that of the latest heartbeat.
+	// reportSequence is that of the latest heartbeat, reported tells that this leader has
+	// heard one.
 	reportSequence uint64
+	reported       bool
 	standing       bool // a run with a latency target is there
 	paceChanged    time.Duration
 	halted         bool // no opportunistic work may run there for now
@@ -90,7 +96,14 @@
 
 // usable tells whether new work may be placed there.
 func (e *Engine) usable(at *agent) bool {
-	return at.synced && !at.record.Leaving && !at.dropping && !e.suspect(at) && e.now >= at.restUntil
+	return at.synced && !at.record.Leaving && !at.dropping && !e.suspect(at) && e.now >= at.restUntil && e.roomKnown(at)
+}
+
+// roomKnown tells whether what the state says of an agent's room can be relied on. A
+// room may have shrunk while there was no leader to be told; an agent that guards it
+// refuses what doesn't fit, another one would be brought over it.
+func (e *Engine) roomKnown(at *agent) bool {
+	return at.reported || e.now-e.since >= reportTime || e.graph.Pool(at.record.Pool).GetGuarded()
 }
 
 // tendAgent renews the lease, and gives up an agent whose lease has run out.
--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -76,6 +76,7 @@
 		{"cancels of late starts", true, faults{cancel: 0.03, late: 0.15, lost: 0.05, leader: 0.002, fail: 0.02}},
 		{"leaving", true, faults{leave: 0.002, cancel: 0.003, fail: 0.02}},
 		{"tasks that crash agents", true, faults{crashing: 0.15, late: 0.03, lost: 0.03, leader: 0.001, fail: 0.02}},
+		{"rooms that shrink, unguarded", false, faults{shrink: 0.01, late: 0.02, lost: 0.02, leader: 0.0005, fail: 0.02}},
 		{"advice", true, faults{advice: true, late: 0.03, lost: 0.03, leader: 0.001, fail: 0.02}},
 		{"everything", true, faults{leader: 0.001, late: 0.03, lost: 0.03, crash: 0.002, cut: 0.003, leave: 0.001, cancel: 0.002, gone: 0.001, fail: 0.02, failing: 0.1}},
 		{"everything, unguarded", false, faults{leader: 0.001, late: 0.03, lost: 0.03, crash: 0.002, cut: 0.003, leave: 0.001, cancel: 0.002, fail: 0.02, failing: 0.1}},
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -54,11 +54,24 @@
 		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: record.Id, Reason: "it left"}}}, done)
 		e.options.Logger.Info("agent left", "agent", record.Id)
 	case known != nil && sameAgent(known.Record, record):
+		e.noteReported(record.Id)
 		done(nil)
 	default:
 		e.options.Logger.Info("agent reported", "agent", record.Id, "address", record.Address, "pool", record.Pool,
 			"failure_domain", record.FailureDomain, "leaving", record.Leaving, "new", known == nil)
-		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, done)
+		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, func(err error) {
+			if err == nil {
+				e.noteReported(record.Id)
+			}
+			done(err)
+		})
+	}
+}
+
+// noteReported notes that the state holds what an agent said to this leader.
+func (e *Engine) noteReported(id string) {
+	if at := e.agents[id]; at != nil {
+		at.reported = true
 	}
 }
 
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -163,6 +163,11 @@
 	m.idle -= expectedUse(t.Stage.Step)
 }
 
+// overdrawn tells whether an agent has less than what its runs have declared. Its room
+// may shrink after a run was placed there; a start that is sent, or sent again, then
+// would bring an agent that doesn't guard its room over it.
+func (m *room) overdrawn() bool { return m.cpu < 0 || m.memory < 0 || m.accel < 0 }
+
 // hold takes what a task of a stage has declared for itself alone.
 func (m *room) hold(s *graph.Stage) {
 	step := s.Step
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -181,8 +181,9 @@
 
 // start sends the order, for the first time or again.
 func (e *Engine) start(r *run) {
-	if r.agent.failed > 0 {
-		// Its deadline would prolong the lease of an agent that may be gone.
+	if r.agent.failed > 0 || !e.roomKnown(r.agent) {
+		// Its deadline would prolong the lease of an agent that may be gone; and what isn't
+		// known to fit waits.
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 		return
 	}
@@ -191,11 +192,16 @@
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 		return
 	}
+	if e.roomOf(r.agent).overdrawn() {
+		e.giveUpStart(r, "its agent's room has shrunk")
+		return
+	}
 	ticket := ""
 	if e.policyOf(r.task.Stage) != nil {
 		var holds bool
 		if ticket, holds = e.ticketFor(r.task.Stage, r.agent.record.Id); !holds {
-			e.startWithoutTicket(r)
+			// It has run out, or isn't known to this leader.
+			e.giveUpStart(r, "no ticket that holds")
 			return
 		}
 	}
@@ -210,14 +216,15 @@
 	})
 }
 
-// startWithoutTicket gives up a run whose ticket has run out, or isn't known to
-// this leader: at once if no start was sent, else after a stop has closed it.
-func (e *Engine) startWithoutTicket(r *run) {
+// giveUpStart gives up a run that isn't to be started any more: at once if every start
+// that was sent was refused, else after a stop has closed it.
+func (e *Engine) giveUpStart(r *run, reason string) {
 	if r.sends == r.answers {
-		e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "no ticket that holds")
+		e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, reason)
 		return
 	}
-	r.stopReason = "its ticket has run out before a start was answered"
+	r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
+	r.stopReason = reason
 }
 
 func (e *Engine) runOf(r *agent, id *wire.RunId) *run {
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -33,6 +33,9 @@
 	// its agent can be reached and there is a leader: until it is seen, stopped, and
 	// one order of each kind was lost.
 	unwantedTime = 7 * time.Second
+	// roomKnown is how long after a room has shrunk starts may bring its agent over it:
+	// one heartbeat and the three seconds in which the leader surely hears of it.
+	roomKnown = simBeat + 3*time.Second
 	// maxCrashesSeen is how many agents a task may have ended at most when it is started
 	// once more. A third start after three crashes is one too many for those who own
 	// the agents.
@@ -49,6 +52,7 @@
 	leave          float64
 	gone           float64 // for good; an empty one comes at another address
 	failing        float64 // of each incarnation
+	shrink         float64 // an agent's room becomes half of it for a while
 	crashing       float64 // of each job: its first task ends every agent that starts it
 	// off are mechanisms that are switched off.
 	off map[drive.Mechanism]bool
@@ -442,6 +446,11 @@
 			s.leave(pick())
 		}
 	}
+	if s.faults.shrink > 0 && s.chance(s.faults.shrink) {
+		if r := pick(); r != nil && r.fullRoom == 0 {
+			s.shrink(r)
+		}
+	}
 	if s.leads && s.chance(s.faults.leader) {
 		s.depose()
 	}
@@ -454,6 +463,17 @@
 	}
 }
 
+// shrink halves an agent's room, and gives it back after some seconds.
+func (s *sim) shrink(r *modelAgent) {
+	r.fullRoom, r.shrunkAt = r.record.CpuMillis, s.now
+	r.record = proto.Clone(r.record).(*wire.Agent)
+	r.record.CpuMillis /= 2
+	s.after(6*time.Second, func() {
+		r.record = proto.Clone(r.record).(*wire.Agent)
+		r.record.CpuMillis, r.fullRoom = r.fullRoom, 0
+	})
+}
+
 // leave has an agent drain, go, and come back as another.
 func (s *sim) leave(r *modelAgent) {
 	r.record = proto.Clone(r.record).(*wire.Agent)
