--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -103,9 +103,12 @@
 // room may have shrunk while there was no leader to be told; an agent that guards it
 // refuses what doesn't fit, another one would be brought over it.
 func (e *Engine) roomKnown(at *agent) bool {
-	return at.reported || e.now-e.since >= reportTime || e.graph.Pool(at.record.Pool).GetGuarded()
+	return at.reported || e.now-e.since >= reportTime || e.guarded(at)
 }
 
+// guarded tells whether an agent refuses starts for which it has no room.
+func (e *Engine) guarded(at *agent) bool { return e.graph.Pool(at.record.Pool).GetGuarded() }
+
 // tendAgent renews the lease, and gives up an agent whose lease has run out.
 func (e *Engine) tendAgent(at *agent) {
 	if at.dropping {
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -85,8 +85,9 @@
 func (r *run) seenFor() time.Duration { return r.confirmedAt - r.seenAt }
 
 // lostText lists the runs on an agent that is given up, those seen for the shortest
-// time first, each as TASK#RUN:SEEN:CRASHES with the crashes before this one. A task that ends its agents stands near the front
-// of each of these lines; one that was only there is found in one of them.
+// time first, each as TASK#RUN:SEEN:CRASHES with the crashes before this one. A task
+// that ends its agents stands near the front of each of these lines; one that was only
+// there is found in one of them.
 func lostText(at *agent) string {
 	runs := slices.Clone(at.ordered)
 	slices.SortStableFunc(runs, func(a, b *run) int {
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -192,7 +192,7 @@
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 		return
 	}
-	if e.roomOf(r.agent).overdrawn() {
+	if !e.guarded(r.agent) && e.roomOf(r.agent).overdrawn() {
 		e.giveUpStart(r, "its agent's room has shrunk")
 		return
 	}
