--- a/internal/sched/drive/crash_test.go
+++ b/internal/sched/drive/crash_test.go
@@ -98,6 +98,39 @@
 	assert.Equal(t, failed, 0)
 }
 
+// The same with a standing task and an opportunistic one, beside work that keeps coming:
+// whatever kind of task it is, it is given up, and the last try, which waits for an agent
+// where nothing has just come, finds one.
+func TestEachKindOfCrashingTaskIsGivenUp(t *testing.T) {
+	cases := []struct {
+		name string
+		step *wire.Step
+	}{
+		{"standing", &wire.Step{Count: 2, CpuMillis: 1000, EstimateMs: 500, Standing: true}},
+		{"opportunistic", &wire.Step{Count: 1, CpuMillis: 1000, EstimateMs: 2000, Opportunistic: true}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(2, 6, true, faults{})
+			s.run(2*time.Second, 0)
+			s.crashing[jobID(1)] = simTick
+			s.submitSpec(c.step)
+			for range 40 {
+				for range 4 {
+					s.submitSpec(&wire.Step{Count: 4, CpuMillis: 700, EstimateMs: uint64(500 + s.random.IntN(3000))})
+				}
+				s.run(time.Second, 0)
+			}
+			s.run(20*time.Second, 0)
+			assert.Assert(t, len(s.broken) == 0, "%v", s.broken)
+			assert.Equal(t, s.graph.Job(s.jobs[0]).State, wire.WorkState_WORK_STATE_FAILED)
+			for _, id := range s.jobs[1:] {
+				assert.Equal(t, s.graph.Job(id).State, wire.WorkState_WORK_STATE_COMPLETED, "job %s, beside the one that crashes agents", id)
+			}
+		})
+	}
+}
+
 // A task that works for seconds before it ends its agent has been listed by then, like
 // all that runs beside it, and isn't counted as one that ends agents by its start. It
 // would be started for ever, at a slower pace.
