--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -181,3 +181,34 @@
 	s.run(3*time.Second, 0)
 	assert.Equal(t, floodAndLose(s, 20*time.Millisecond, roomy), 2)
 }
+
+// Standing tasks stayed away for 19 s though there was room for them. Their agents went
+// for good, and nearly a lease later, before it gave them up, the leader went as well. The
+// next one knows nothing of the leases that were granted, and waits for a whole one from
+// its own beginning:
+//
+//	19.6003 "agent silent" (first leader)
+//	27.7974 "driving begins" term=2
+//	38.7231 "agent given up" reason="silent until its lease had surely run out" silent=10.93s
+func TestLeaseOfALostAgentOutlivesNoLeader(t *testing.T) {
+	// back is the lease of 9 s on a clock 2% slow, four seconds without a leader, and the
+	// three in which a standing task has to run again.
+	const back = 9400*time.Millisecond + 4*time.Second + 3*time.Second
+	s := newSim(1, 3, true, faults{})
+	s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1000, EstimateMs: 500, Standing: true})
+	s.run(3*time.Second, 0)
+	gone := s.now
+	for _, address := range sortedKeys(s.agents) {
+		if r := s.agents[address]; len(r.runs) > 0 {
+			delete(s.agents, address)
+		}
+	}
+	s.run(8*time.Second, 0)
+	s.depose()
+	s.run(gone+back-s.now, 0)
+	running := 0
+	for _, r := range s.agents {
+		running += len(r.runs)
+	}
+	assert.Equal(t, running, 1, "the standing task runs nowhere %v after its agent was gone", s.now-gone)
+}
