Sight: the incarnation that reports and answers, ends left out by their number, reports under ids given up

Logs couldn't tell whether ends of a restarted agent are skipped by their number or an answer was overtaken, nor whether a restarted agent reports in vain. The start that an agent tells is read and logged; skipped ends of runs that count as being there and reports under ids that were given up have a line and a counter. No decision depends on any of it yet, but that the record of an agent holds its incarnation.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -54,10 +54,12 @@
 	answered  time.Duration // when the last hold was answered
 	failed    int           // holds in a row without an answer
 	lastSeen  uint64        // ends up to here are committed
-	ending    bool          // ends are being committed
-	dropping  bool
-	restUntil time.Duration
-	leaveBy   time.Duration // when a leaving agent ends; 0 when unknown
+	// incarnation is that which answered the last hold.
+	incarnation uint64
+	ending      bool // ends are being committed
+	dropping    bool
+	restUntil   time.Duration
+	leaveBy     time.Duration // when a leaving agent ends; 0 when unknown
 	// reportSequence is that of the latest heartbeat, reported tells that this leader has
 	// heard one.
 	reportSequence uint64
@@ -188,6 +190,7 @@
 		e.dirty = true
 		e.dropPredecessors(at)
 	}
+	e.noteIncarnation(at, a)
 	e.noteRunning(at, a)
 	e.noteEnded(at, a)
 	e.settleAbsent(at, a)
@@ -195,6 +198,17 @@
 	e.tendAgent(at)
 }
 
+// noteIncarnation logs that another process than before answers under the agent's id,
+// with what it was told of the earlier one's ends.
+func (e *Engine) noteIncarnation(at *agent, a Answer) {
+	if a.Incarnation == at.incarnation {
+		return
+	}
+	e.options.Logger.Info("agent answers in another incarnation", "agent", at.record.Id, "incarnation", a.Incarnation, "before", at.incarnation,
+		"acknowledged", a.Order.LastSeen, "runs", len(at.runs), "running", len(a.Running), "ended", len(a.Ended))
+	at.incarnation = a.Incarnation
+}
+
 // dropPredecessors gives up earlier incarnations at the address of one that
 // has answered there: a new process at the same place is proof that the old
 // one has ended, and all that ran in it.
--- a/internal/sched/drive/ends.go
+++ b/internal/sched/drive/ends.go
@@ -21,12 +21,14 @@
 func (e *Engine) noteEnded(at *agent, a Answer) {
 	last := at.lastSeen
 	var ends []*wire.RunEnd
+	var skipped []RunReport
 	for _, report := range a.Ended {
 		t := e.graph.Find(report.Run)
 		if known := at.runs[t]; known != nil {
 			known.listedAt = e.now
 		}
 		if report.Number <= at.lastSeen {
+			skipped = append(skipped, report)
 			continue
 		}
 		last = max(last, report.Number)
@@ -36,6 +38,7 @@
 		e.noteOutcome(at, t, report.Outcome)
 		ends = append(ends, &wire.RunEnd{Id: report.Run, Agent: at.record.Id, Outcome: report.Outcome, Checkpoint: report.Checkpoint})
 	}
+	e.noteSkipped(at, skipped)
 	if len(ends) == 0 {
 		at.lastSeen = last
 		return
@@ -50,6 +53,21 @@
 	})
 }
 
+// noteSkipped logs ends that are left out as known, where the run that one of them
+// ends is taken to be there: then it isn't known, and its number belongs to another
+// count.
+func (e *Engine) noteSkipped(at *agent, skipped []RunReport) {
+	for _, report := range skipped {
+		r := e.runOf(at, report.Run)
+		if r == nil || r.ending {
+			continue
+		}
+		endsSkipped.Inc()
+		e.options.Logger.Warn("end left out by its number", "agent", at.record.Id, "job", report.Run.Job, "step", report.Run.Step, "index", report.Run.Index,
+			"run", report.Run.Run, "outcome", report.Outcome.String(), "number", report.Number, "acknowledged", at.lastSeen, "incarnation", at.incarnation)
+	}
+}
+
 // commitEnds has ends committed with all others of this turn. Each of them by itself
 // was 3,000 records a second at 1,800 agents, each one encoded for five disks.
 func (e *Engine) commitEnds(ends []*wire.RunEnd, done func(ok bool)) {
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -79,6 +79,9 @@
 		// searched is where the next search for an agent begins, where not all are
 		// looked at.
 		searched int
+		// overlooked are the ids that were given up and reported again, with the
+		// incarnation that did.
+		overlooked map[string]uint64
 		// dirty tells that something to place or a place may have come up.
 		dirty     bool
 		placing   bool
@@ -154,6 +157,7 @@
 	e.touched = map[string]bool{}
 	e.ended = endings{}
 	e.pools, e.sorted, e.lists = nil, nil, map[string][]*room{}
+	e.overlooked = map[string]uint64{}
 	e.loads = map[loadKey]float64{}
 	e.line, e.fresh = line{}, nil
 	e.readySince = map[*graph.Stage]time.Duration{}
--- a/internal/sched/drive/meter.go
+++ b/internal/sched/drive/meter.go
@@ -19,8 +19,12 @@
 	runsMoved      = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
 	haltsBeside    = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
 	reportsIgnored = metrics.NewCounter("sycamoredeck_agent_reports_ignored_total")
-	runsStalled    = metrics.NewCounter("sycamoredeck_runs_stalled_total")
-	readyToStart   = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
+	// reportsOverlooked counts reports under ids that were given up, endsSkipped ends that
+	// were left out by their number although nothing is known of them.
+	reportsOverlooked = metrics.NewCounter("sycamoredeck_agent_reports_overlooked_total")
+	endsSkipped       = metrics.NewCounter("sycamoredeck_run_ends_skipped_total")
+	runsStalled       = metrics.NewCounter("sycamoredeck_runs_stalled_total")
+	readyToStart      = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
 )
 
 // outcomeNames name outcomes for logs and counters, outcomeCounters count them. They are
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -49,8 +49,10 @@
 		// ClockKnown tells that Clock is the agent's clock as it answered.
 		ClockKnown bool
 		Clock      time.Duration
-		Running    []RunStatus
-		Ended      []RunReport
+		// Incarnation is that of the agent that answered a hold; 0 where it isn't told.
+		Incarnation uint64
+		Running     []RunStatus
+		Ended       []RunReport
 		// Detail is for logs.
 		Detail string
 	}
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -27,6 +27,7 @@
 	}
 	record := report.Agent
 	if e.graph.Dropped(record.Id) {
+		e.noteOverlooked(record)
 		done(nil) // sent before it was given up; there is nothing to learn
 		return
 	}
@@ -58,7 +59,7 @@
 		done(nil)
 	default:
 		e.options.Logger.Info("agent reported", "agent", record.Id, "address", record.Address, "pool", record.Pool,
-			"failure_domain", record.FailureDomain, "leaving", record.Leaving, "new", known == nil)
+			"failure_domain", record.FailureDomain, "leaving", record.Leaving, "incarnation", record.Incarnation, "new", known == nil)
 		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, func(err error) {
 			if err == nil {
 				e.noteReported(record.Id)
@@ -68,6 +69,17 @@
 	}
 }
 
+// noteOverlooked logs the first heartbeat under an id that was given up. One is sent
+// late; more of them, or one of a later incarnation, are an agent that isn't used.
+func (e *Engine) noteOverlooked(record *wire.Agent) {
+	reportsOverlooked.Inc()
+	if known, logged := e.overlooked[record.Id]; logged && known == record.Incarnation {
+		return
+	}
+	e.overlooked[record.Id] = record.Incarnation
+	e.options.Logger.Info("report of an agent that was given up", "agent", record.Id, "address", record.Address, "incarnation", record.Incarnation)
+}
+
 // noteReported notes that the state holds what an agent said to this leader.
 func (e *Engine) noteReported(id string) {
 	if at := e.agents[id]; at != nil {
