Each process of an agent is registered by itself; orders reach only the one they are for

What callers saw: tasks that had ended as done ran a second time, and jobs waited for good while most of the room was unused.

Cause: an agent's id was taken to name one process. All that is known of one was kept by the id: the number up to which its ends were committed, the numbers of its reports, its clock, its lease, that it was given up. An agent that starts again under its id knows nothing of that. Class: an identity that outlives what it names.

Excluded: overtaking answers and runs that nobody settles; both tests fail without either.

Change: an incarnation is registered under the agent's id if that is free, else under one made of the id and the incarnation, and everything hangs on that. A report of an earlier process changes nothing; word that an agent has gone, which tells no incarnation, ends only one that had said it leaves. A process that was given up while cut off comes back as a further registration, since all its leases have run out. Records without an incarnation, as earlier versions wrote them, take that of the first process that answers; reports that an earlier version passed on without one are refused.

--- a/internal/sched/drive/advice.go
+++ b/internal/sched/drive/advice.go
@@ -27,7 +27,9 @@
 	AdviceRequest struct {
 		Job              string
 		Occurrence, Step uint32
-		Agents           []string
+		// Agents are the ids of agents, Names those that they go by themselves, in the
+		// same order.
+		Agents, Names []string
 		// Timeout is how long the answer may take.
 		Timeout time.Duration
 		// Term is the leader's; an answer in a later one is left out.
@@ -39,7 +41,7 @@
 		Request AdviceRequest
 		// Answered tells that there was an answer.
 		Answered bool
-		// Tickets are those of the agents that may run the step.
+		// Tickets are those of the agents that may run the step, by name.
 		Tickets map[string]string
 		// Valid is how long the tickets hold, from the answer on.
 		Valid  time.Duration
@@ -99,8 +101,8 @@
 	}
 	a := e.adviceOf(s)
 	type candidate struct {
-		id   string
-		cost float64
+		id, name string
+		cost     float64
 	}
 	var candidates []candidate
 	for _, m := range rooms {
@@ -109,7 +111,7 @@
 		if _, holds := e.ticketFor(s, id); holds || (a.asked[id] && !allowed) || !m.fits(s) {
 			continue
 		}
-		candidates = append(candidates, candidate{id, p.cost(s, m)})
+		candidates = append(candidates, candidate{id, nameOf(m.agent.record), p.cost(s, m)})
 	}
 	if len(candidates) == 0 {
 		return
@@ -117,7 +119,7 @@
 	sort.Slice(candidates, func(i, k int) bool { return candidates[i].cost < candidates[k].cost })
 	r := AdviceRequest{Job: s.Job.ID, Occurrence: s.Occurrence, Step: s.Index, Term: e.term}
 	for _, c := range candidates[:min(len(candidates), maxAdvised)] {
-		r.Agents = append(r.Agents, c.id)
+		r.Agents, r.Names = append(r.Agents, c.id), append(r.Names, c.name)
 	}
 	policy := e.policyOf(s)
 	r.Timeout = policy.GetDecide().AsDuration() + time.Duration(len(r.Agents))*policy.GetInterval().AsDuration() + time.Second
@@ -143,10 +145,10 @@
 		return
 	}
 	known := e.adviceOf(t.Stage)
-	for _, id := range a.Request.Agents {
+	for i, id := range a.Request.Agents {
 		known.asked[id] = true
-	}
-	for id, text := range a.Tickets {
-		known.tickets[id] = ticket{text, now + a.Valid}
+		if text, allowed := a.Tickets[a.Request.Names[i]]; allowed {
+			known.tickets[id] = ticket{text, now + a.Valid}
+		}
 	}
 }
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -54,7 +54,8 @@
 	answered  time.Duration // when the last hold was answered
 	failed    int           // holds in a row without an answer
 	lastSeen  uint64        // ends up to here are committed
-	// incarnation is that which answered the last hold.
+	// incarnation is that of the process that this is: the registered one or, where none
+	// is registered, that which answered first; 0 while no process told one.
 	incarnation uint64
 	ending      bool // ends are being committed
 	dropping    bool
@@ -85,7 +86,7 @@
 }
 
 func (e *Engine) newAgent(registered *graph.Agent) *agent {
-	at := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now, roomStale: true}
+	at := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now, roomStale: true, incarnation: registered.Record.Incarnation}
 	e.agents[registered.Record.Id] = at
 	e.pools, e.sorted = nil, nil
 	return at
@@ -190,7 +191,6 @@
 		e.dirty = true
 		e.dropPredecessors(at)
 	}
-	e.noteIncarnation(at, a)
 	e.noteRunning(at, a)
 	e.noteEnded(at, a)
 	e.settleAbsent(at, a)
@@ -198,23 +198,12 @@
 	e.tendAgent(at)
 }
 
-// noteIncarnation logs that another process than before answers under the agent's id,
-// with what it was told of the earlier one's ends.
-func (e *Engine) noteIncarnation(at *agent, a Answer) {
-	if a.Incarnation == at.incarnation {
-		return
-	}
-	e.options.Logger.Info("agent answers in another incarnation", "agent", at.record.Id, "incarnation", a.Incarnation, "before", at.incarnation,
-		"acknowledged", a.Order.LastSeen, "runs", len(at.runs), "running", len(a.Running), "ended", len(a.Ended))
-	at.incarnation = a.Incarnation
-}
-
-// dropPredecessors gives up earlier incarnations at the address of one that
-// has answered there: a new process at the same place is proof that the old
-// one has ended, and all that ran in it.
+// dropPredecessors gives up the processes of which one that has answered is the
+// successor, at its address or under its name: it is proof that they have ended, and all
+// that ran in them.
 func (e *Engine) dropPredecessors(at *agent) {
 	for _, other := range e.byID() {
-		if other != at && other.record.Address == at.record.Address {
+		if other != at && (other.record.Address == at.record.Address || other.precedes(at)) {
 			e.dropAgent(other, replaced, "another incarnation answered at its address")
 		}
 	}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -236,7 +236,7 @@
 
 // send hands over an order under this leader's fence.
 func (e *Engine) send(at *agent, o Order) {
-	o.Agent, o.Fence, o.SentAt = at.record, e.term, e.now
+	o.Agent, o.Incarnation, o.Fence, o.SentAt = at.record, at.incarnation, e.term, e.now
 	e.options.Send(o)
 }
 
@@ -251,7 +251,10 @@
 		return
 	}
 	r.heard()
-	if a.ClockKnown {
+	if !e.sameIncarnation(r, a) {
+		a.Verdict = OtherIncarnation
+	}
+	if a.ClockKnown && a.Verdict != OtherIncarnation {
 		r.clock.note(a.Clock, now)
 	}
 	if a.Verdict == OtherIncarnation {
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -20,6 +20,10 @@
 	Order struct {
 		Kind  Kind
 		Agent *wire.Agent
+		// Incarnation is that of the process that the order is for. No other process
+		// may carry it out, also none that has the agent's id and address: its answer is
+		// OtherIncarnation then. 0 where it isn't known; the id alone has to do.
+		Incarnation uint64
 		// Fence is the leader's term. An agent refuses a lower one than it has
 		// seen.
 		Fence uint64
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -25,21 +25,29 @@
 		done(ErrNotDriving)
 		return
 	}
-	record := report.Agent
-	if e.graph.Dropped(record.Id) {
-		e.noteOverlooked(record)
+	if report.Gone {
+		e.reportedGone(report.Agent, done)
+		return
+	}
+	record, err := e.registration(report.Agent)
+	if err != nil {
+		done(err)
+		return
+	}
+	if record == nil || e.graph.Dropped(record.Id) {
+		e.noteOverlooked(report.Agent)
 		done(nil) // sent before it was given up; there is nothing to learn
 		return
 	}
 	known := e.graph.Agent(record.Id)
-	if !report.Gone && !e.names(known, record) {
+	if !e.names(known, record) {
 		reportsIgnored.Inc()
 		done(nil)
 		return
 	}
 	r := e.agents[record.Id]
 	if r != nil {
-		if report.Sequence != 0 && report.Sequence < r.reportSequence && !report.Gone {
+		if report.Sequence != 0 && report.Sequence < r.reportSequence {
 			done(nil)
 			return
 		}
@@ -48,36 +56,31 @@
 			r.leaveBy = now + report.Remaining.AsDuration()
 		}
 	}
-	switch {
-	case report.Gone && known == nil:
-		done(nil)
-	case report.Gone:
-		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: record.Id, Reason: "it left"}}}, done)
-		e.options.Logger.Info("agent left", "agent", record.Id)
-	case known != nil && sameAgent(known.Record, record):
+	if known != nil && sameAgent(known.Record, record) {
 		e.noteReported(record.Id)
 		done(nil)
-	default:
-		e.options.Logger.Info("agent reported", "agent", record.Id, "address", record.Address, "pool", record.Pool,
-			"failure_domain", record.FailureDomain, "leaving", record.Leaving, "incarnation", record.Incarnation, "new", known == nil)
-		e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, func(err error) {
-			if err == nil {
-				e.noteReported(record.Id)
-			}
-			done(err)
-		})
+		return
 	}
+	e.options.Logger.Info("agent reported", "agent", record.Id, "address", record.Address, "pool", record.Pool,
+		"failure_domain", record.FailureDomain, "leaving", record.Leaving, "incarnation", record.Incarnation, "new", known == nil)
+	e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, func(err error) {
+		if err == nil {
+			e.noteReported(record.Id)
+		}
+		done(err)
+	})
 }
 
-// noteOverlooked logs the first heartbeat under an id that was given up. One is sent
-// late; more of them, or one of a later incarnation, are an agent that isn't used.
+// noteOverlooked logs the first heartbeat of an incarnation that isn't to be used: it
+// was given up, or a later one is known. One is sent late; more of them are an agent that
+// lives and isn't used.
 func (e *Engine) noteOverlooked(record *wire.Agent) {
 	reportsOverlooked.Inc()
 	if known, logged := e.overlooked[record.Id]; logged && known == record.Incarnation {
 		return
 	}
 	e.overlooked[record.Id] = record.Incarnation
-	e.options.Logger.Info("report of an agent that was given up", "agent", record.Id, "address", record.Address, "incarnation", record.Incarnation)
+	e.options.Logger.Info("report of an incarnation that was given up", "agent", record.Id, "address", record.Address, "incarnation", record.Incarnation)
 }
 
 // noteReported notes that the state holds what an agent said to this leader.
@@ -94,8 +97,12 @@
 	if report.Gone || report.Agent.Leaving {
 		return false
 	}
-	known := e.graph.Agent(report.Agent.Id)
-	return known != nil && sameAgent(known.Record, report.Agent)
+	record, err := e.registration(report.Agent)
+	if err != nil || record == nil {
+		return false
+	}
+	known := e.graph.Agent(record.Id)
+	return known != nil && sameAgent(known.Record, record)
 }
 
 // names tells whether a heartbeat names an agent that may be used. One of a pool
--- a/internal/sched/drive/restart_test.go
+++ b/internal/sched/drive/restart_test.go
@@ -117,3 +117,62 @@
 	s.run(5*time.Second, 0)
 	assert.Equal(t, s.graph.Job(s.jobs[1]).State, wire.WorkState_WORK_STATE_QUEUED, "an agent that leaves gets new work")
 }
+
+// After an upgrade all that runs is started again while it runs. The earlier version
+// registered agents without their incarnations; reports tell them now, and each is taken
+// for a process that has replaced the registered one. Half of the replicas are of the
+// earlier version for a while, and pass reports on without what they don't know.
+func TestAgentsRegisteredWithoutIncarnationGoOn(t *testing.T) {
+	s := newSim(1, 3, true, faults{})
+	for i, address := range sortedKeys(s.agents) {
+		s.agents[address].incarnation = uint64(i + 1)
+	}
+	s.run(2*time.Second, 0)
+	s.submitSpec(&wire.Step{Count: 6, CpuMillis: 1000, EstimateMs: 20000})
+	s.run(time.Second, 0)
+	s.depose()
+	s.run(4*time.Second, 0)
+	for i, address := range sortedKeys(s.agents) {
+		s.agents[address].record.Incarnation = uint64(i + 1)
+	}
+	s.run(3*time.Second, 0)
+	for _, address := range sortedKeys(s.agents) {
+		r := s.agents[address]
+		assert.Equal(t, s.graph.Agent(r.record.Id).Record.Incarnation, r.incarnation)
+		told := &wire.Agent{Id: r.record.Id, Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000}
+		s.engine.Reported(s.now, &wire.ReportAgentRequest{Agent: told}, func(err error) {
+			assert.ErrorContains(t, err, "doesn't tell")
+		})
+	}
+	s.run(20*time.Second, 0)
+	s.assertCompleted(t)
+	assert.Equal(t, starts(s, 0), uint32(1), "the work was begun anew")
+
+	s.born, s.lives = true, 10
+	for _, address := range sortedKeys(s.agents) {
+		s.restart(s.agents[address], time.Second)
+	}
+	s.run(5*time.Second, 0)
+	s.submitSpec(&wire.Step{Count: 3, CpuMillis: 1000, EstimateMs: 300, SpreadLimit: 1})
+	s.run(5*time.Second, 0)
+	s.assertCompleted(t)
+}
+
+// An agent that was cut off for longer than its lease, and lived on, was never used again:
+// its reports were taken for those of a process that has ended. It comes back as often as
+// that happens, and what it ran before was stopped by its lease.
+func TestAgentComesBackAfterEachLongCut(t *testing.T) {
+	s := newSim(1, 2, true, faults{born: true})
+	s.run(2*time.Second, 0)
+	for range 3 {
+		s.submitSpec(&wire.Step{Count: 4, CpuMillis: 1000, EstimateMs: 2000})
+		s.run(500*time.Millisecond, 0)
+		for _, address := range sortedKeys(s.agents) {
+			s.agents[address].cutUntil = s.now + 14*time.Second
+		}
+		s.run(18*time.Second, 0)
+		s.submitSpec(&wire.Step{Count: 2, CpuMillis: 1000, EstimateMs: 300, SpreadLimit: 1})
+		s.run(8*time.Second, 0)
+		s.assertCompleted(t)
+	}
+}
