What ran on an agent that was cut off before it started again isn't blamed

An agent was cut off, went down behind the cut and started again; each time its successor proved it gone, and all that had just come there was counted as having crashed it. Three times, and the job failed. With agents that start again under their ids this is every cut with a restart behind it.

Change: a crash counts where the connection on which a hold waited was closed or a new one was refused, as it is where a process ends by a task; silence counts for nobody. Of an agent that this leader never heard nothing is known, and it counts as before. The model closes the connections of an agent that a task ends.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -53,6 +53,7 @@
 	nextHold  time.Duration
 	answered  time.Duration // when the last hold was answered
 	failed    int           // holds in a row without an answer
+	closed    bool          // they show that its process has ended; see noteClosed
 	lastSeen  uint64        // ends up to here are committed
 	// incarnation is that of the process that this is: the registered one or, where none
 	// is registered, that which answered first; 0 while no process told one.
@@ -184,7 +185,7 @@
 		e.options.Logger.Info("agent heard again", "agent", at.record.Id, "silent", e.now-at.answered)
 		e.dirty = true
 	}
-	at.failed, at.answered, at.nextHold = 0, e.now, e.now
+	at.failed, at.closed, at.answered, at.nextHold = 0, false, e.now, e.now
 	first := !at.synced
 	if first {
 		at.synced = true
@@ -198,6 +199,16 @@
 	e.tendAgent(at)
 }
 
+// noteClosed notes whether an order without an answer shows that the agent's process has
+// ended: the connection on which a hold waited was closed, or a new one was refused. Where
+// holds have failed before, a connection that is closed is one that outlived a cut.
+func (r *agent) noteClosed(a Answer) {
+	waited := a.Order.Kind == Hold && r.failed == 0
+	if a.Closed && (waited || a.Verdict == Unsent) {
+		r.closed = true
+	}
+}
+
 // dropPredecessors gives up the processes of which one that has answered is the
 // successor, at its address or under its name: it is proof that they have ended, and all
 // that ran in them.
--- a/internal/sched/drive/crash_test.go
+++ b/internal/sched/drive/crash_test.go
@@ -185,6 +185,12 @@
 			s.run(500*time.Millisecond, 0)
 			s.crashByRun(r)
 		}},
+		{"cut off and started again behind the cut", func(s *sim, r *modelAgent) {
+			r.cutUntil = s.now + time.Hour
+			s.run(1200*time.Millisecond, 0)
+			s.crash(r)
+			s.after(1500*time.Millisecond, func() { s.bear(r.record.Address) })
+		}},
 		{"cut off for good", func(s *sim, r *modelAgent) {
 			delete(s.agents, r.record.Address)
 			s.bear("10.0.1." + r.record.Address[len("10.0.0."):])
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -261,6 +261,7 @@
 		e.dropAgent(r, replaced, "another incarnation lives at its address")
 		return
 	}
+	r.noteClosed(a)
 	switch a.Order.Kind {
 	case Hold:
 		e.holdAnswered(r, a)
--- a/internal/sched/drive/faults_test.go
+++ b/internal/sched/drive/faults_test.go
@@ -41,10 +41,16 @@
 	return crashing && run.id.Step == 0 && run.id.Index == 0 && s.now-run.began >= after
 }
 
-// crashByRun ends an agent by one of its runs. It is back after the three seconds that
-// agents were seen to take.
+// crashByRun ends an agent by one of its runs, and with it its connections. It is back
+// after the three seconds that agents were seen to take.
 func (s *sim) crashByRun(r *modelAgent) {
 	s.crash(r)
+	s.refusing[r.record.Address] = true
+	for _, closed := range r.open {
+		if !r.cut() {
+			s.after(time.Millisecond, closed)
+		}
+	}
 	s.after(3*time.Second, func() { s.bear(r.record.Address) })
 }
 
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -41,9 +41,12 @@
 // endLost ends the runs of an agent that is given up, before it is dropped, where
 // there is more to keep of them than that they are gone: the latest checkpoint, and
 // that the agent may have crashed under them. An agent that said that it leaves has
-// ended as it said.
+// ended as it said; one that fell silent without closing its connections was cut off, or
+// went down with its instance, and what ran there isn't blamed: where agents are cut off
+// again and again and start anew behind the cut, jobs that did nothing would fail. Of one
+// that this leader never heard nothing is known, and it counts.
 func (e *Engine) endLost(at *agent, why departure) {
-	crashed := why == replaced && !at.record.Leaving
+	crashed := why == replaced && !at.record.Leaving && (at.closed || !at.synced)
 	var ends []*wire.RunEnd
 	for _, r := range at.ordered {
 		if r.ending {
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -49,8 +49,11 @@
 		number      uint64
 		// lapsed is the number of the latest end that was listed when the lease ran out. An
 		// acknowledgement that comes after that notes none of those ends.
-		lapsed   uint64
-		waiting  []waitingHold
+		lapsed  uint64
+		waiting []waitingHold
+		// open are what becomes of each order sent to it when its connection is closed;
+		// those that were answered take no notice.
+		open     []func()
 		cutUntil time.Duration
 		// fullRoom is the room that a shrunk agent had before; 0 for one that hasn't shrunk.
 		fullRoom uint64
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -57,6 +57,10 @@
 		Incarnation uint64
 		Running     []RunStatus
 		Ended       []RunReport
+		// Closed tells of an order without an answer that the other end closed or refused
+		// the connection, as happens where a process has ended. One that is cut off says
+		// nothing.
+		Closed bool
 		// Detail is for logs.
 		Detail string
 	}
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -106,6 +106,9 @@
 		// agents ended while a run of a task was there.
 		crashing map[string]time.Duration
 		crashes  map[string]int
+		// refusing are the addresses at which a process has ended and none has begun, on
+		// an instance that is up.
+		refusing map[string]bool
 		// failedRuns counts the runs that ended as failed, acknowledged or not.
 		failedRuns map[string]int
 		logger     *slog.Logger
@@ -122,7 +125,7 @@
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 11)), faults: f, guarded: guarded, graph: graph.New(),
 		agents: map[string]*modelAgent{}, steps: map[string]*wire.Step{}, doneNoted: map[string]bool{},
-		crashing: map[string]time.Duration{}, crashes: map[string]int{}, failedRuns: map[string]int{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		crashing: map[string]time.Duration{}, crashes: map[string]int{}, failedRuns: map[string]int{}, refusing: map[string]bool{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		failures: map[string]int{}, issued: map[string]time.Duration{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
 	}
 	s.tailOf = func(_ *modelAgent, run *modelRun) int { return int(run.step.TailTargetMs) / 2 }
@@ -167,6 +170,7 @@
 // nothing of that one, and all that it counts starts anew.
 func (s *sim) bearAs(id, address string) {
 	s.lives++
+	delete(s.refusing, address)
 	s.agents[address] = &modelAgent{
 		sim: s, offset: time.Duration(s.random.Int64N(int64(time.Hour))), rate: 1 - 0.02*s.random.Float64(),
 		record: &wire.Agent{Id: id, Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000},
@@ -261,8 +265,14 @@
 		}
 	}
 	s.after(timeout, func() { answer(drive.Answer{Order: o, Verdict: drive.NoAnswer}) })
+	if r := s.agents[o.Agent.Address]; r != nil {
+		r.open = append(r.open, func() { answer(drive.Answer{Order: o, Verdict: drive.NoAnswer, Closed: true}) })
+	}
 	deliver := func(reply func(drive.Answer)) {
 		r := s.agents[o.Agent.Address]
+		if r == nil && s.refusing[o.Agent.Address] {
+			reply(drive.Answer{Order: o, Verdict: drive.Unsent, Closed: true})
+		}
 		if r == nil || r.cut() {
 			return
 		}
