--- a/internal/sched/drive/restart_test.go
+++ b/internal/sched/drive/restart_test.go
@@ -176,3 +176,36 @@
 		s.assertCompleted(t)
 	}
 }
+
+// Tasks that had ended as done began once more, right after the first election. An agent
+// had started again before any of its reports was taken, and the reports of both its
+// processes came within the time of a commit, the earlier one's last. Both were registered
+// under the agent's id, which was free, so that the record named the process that had
+// ended; the one that lived was registered a second time, took the first registration for
+// its predecessor's, and its own ends were acknowledged as those of nobody:
+//
+//	57.2684  "agent reported" agent=i-1 incarnation=1796279996922 new=true
+//	57.2688  "agent reported" agent=i-1 incarnation=1796279995538 new=true
+//	57.5712  "agent reported" agent=i-1@1796279996922 incarnation=1796279996922 new=true
+//	57.5799  "agent given up" agent=i-1 reason="another incarnation answered at its address" runs=16
+func TestReportsOfTwoIncarnationsWithinACommit(t *testing.T) {
+	for _, laterFirst := range []bool{true, false} {
+		s := newSim(1, 1, true, faults{born: true})
+		earlier := s.agents["10.0.0.0:1"]
+		s.bearAs(earlier.record.Id, earlier.record.Address)
+		later := s.agents["10.0.0.0:1"]
+		s.engine.Turn(s.now)
+		if laterFirst {
+			s.report(later, false)
+		}
+		s.now += time.Millisecond
+		s.report(earlier, false)
+		s.now = commitTime
+		s.happen()
+		s.engine.Turn(s.now) // between the two commits
+		s.submitSpec(&wire.Step{Count: 4, CpuMillis: 1000, EstimateMs: 3000})
+		s.run(15*time.Second, 0)
+		s.assertCompleted(t)
+		assert.Equal(t, starts(s, 0), uint32(1), "the work was begun anew")
+	}
+}
