An id holds the first incarnation that is committed under it

What callers saw: tasks that had ended as done began once more, right after the first election. Cause: whether an id is free was decided where a report came in, and committed later; a late report of a process that had ended replaced the record of the one that lived, which was then registered twice, and its ends acknowledged as those of nobody. Change: a registration with another incarnation than the committed one is refused, and the agent tells it again. An answer of an earlier process that comes after its successor's no longer gives the successor up, found by reading on the way.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -213,6 +213,13 @@
 // successor, at its address or under its name: it is proof that they have ended, and all
 // that ran in them.
 func (e *Engine) dropPredecessors(at *agent) {
+	for _, other := range e.byID() {
+		if other != at && other.synced && at.precedes(other) {
+			// Its answer was on its way while its successor answered.
+			e.dropAgent(at, replaced, "a later incarnation has answered")
+			return
+		}
+	}
 	for _, other := range e.byID() {
 		if other != at && (other.record.Address == at.record.Address || other.precedes(at)) {
 			e.dropAgent(other, replaced, "another incarnation answered at its address")
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -125,8 +125,11 @@
 }
 
 func (e *Engine) commitReport(command *wire.WorkCommand, done func(error)) {
-	e.options.Propose(&wire.Command{Body: &wire.Command_Work{Work: command}}, func(_ state.Result, err error) {
+	e.options.Propose(&wire.Command{Body: &wire.Command_Work{Work: command}}, func(res state.Result, err error) {
 		e.dirty = true
+		if err == nil && errors.Is(res.Err, graph.ErrOtherIncarnation) {
+			err = res.Err // it is to be told again, when the first one is known
+		}
 		done(err)
 	})
 }
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -13,13 +13,14 @@
 
 // Why a command changes nothing.
 var (
-	ErrUnknownQueue = errors.New("no such queue")
-	ErrUnknownJob   = errors.New("no such job")
-	ErrUnknownAgent = errors.New("no such agent")
-	ErrOtherContent = errors.New("the id names a job with other content")
-	ErrSuperseded   = errors.New("the run isn't the task's present one")
-	ErrNotReady     = errors.New("the task isn't to be placed")
-	ErrLeaving      = errors.New("the agent is leaving")
+	ErrUnknownQueue     = errors.New("no such queue")
+	ErrUnknownJob       = errors.New("no such job")
+	ErrUnknownAgent     = errors.New("no such agent")
+	ErrOtherContent     = errors.New("the id names a job with other content")
+	ErrSuperseded       = errors.New("the run isn't the task's present one")
+	ErrNotReady         = errors.New("the task isn't to be placed")
+	ErrOtherIncarnation = errors.New("another incarnation is registered under the id")
+	ErrLeaving          = errors.New("the agent is leaving")
 )
 
 // Result is what a command came to.
@@ -196,6 +197,11 @@
 		g.changed()
 		return nil
 	}
+	if known.Record.Incarnation != 0 && r.Incarnation != known.Record.Incarnation {
+		// Two processes of the agent reported before either was committed. The runs here
+		// are the first one's.
+		return ErrOtherIncarnation
+	}
 	if known.Record.Leaving && !r.Leaving {
 		// The command may be on its way to other replicas yet.
 		r = proto.Clone(r).(*wire.Agent)
