A crash that nothing showed counts for a task that was seen to end an agent

Cause: since a crash counts only where a connection was closed or refused, those on agents whose connections had gone silent before weren't counted. Change: once a task was seen to end an agent, each that goes down under it counts. Tasks that only happen to be on agents that are cut off have no such crash, and aren't blamed.

A model of its cause fails the same way, TestCrashesUnseenCountAfterOneThatWasSeen: it fails without and passes with the change.

--- a/internal/sched/drive/crash_test.go
+++ b/internal/sched/drive/crash_test.go
@@ -172,6 +172,26 @@
 	assert.Equal(t, starts(s, 0), uint32(11))
 }
 
+// A job went on crashing agents after five of them: connections to some had gone silent
+// before they crashed, so that nothing showed it, and those crashes weren't counted. Once a
+// task was seen to end an agent, those that go down under it unseen count as well.
+func TestCrashesUnseenCountAfterOneThatWasSeen(t *testing.T) {
+	s := newSim(1, 6, true, faults{})
+	s.run(2*time.Second, 0)
+	s.crashing[jobID(1)] = simTick
+	s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1000, EstimateMs: 500})
+	key := jobID(1) + ".0.0.0"
+	for s.crashes[key] == 0 {
+		s.run(simTick, 0)
+	}
+	s.run(100*time.Millisecond, 0) // until its connections are seen to be closed
+	s.dark = true
+	s.run(90*time.Second, 0)
+	assert.Assert(t, len(s.broken) == 0, "%v", s.broken)
+	assert.Equal(t, s.graph.Job(s.jobs[0]).State, wire.WorkState_WORK_STATE_FAILED, "it ended %d agents", s.crashes[key])
+	assert.Assert(t, s.crashes[key] <= 5, "it ended %d agents", s.crashes[key])
+}
+
 // Agents that are replaced as announced, or that are only cut off until their leases
 // have run out, haven't crashed: the work that goes with them fails for nobody's doing.
 func TestOnlyCrashesAreCounted(t *testing.T) {
--- a/internal/sched/drive/faults_test.go
+++ b/internal/sched/drive/faults_test.go
@@ -45,9 +45,9 @@
 // after the three seconds that agents were seen to take.
 func (s *sim) crashByRun(r *modelAgent) {
 	s.crash(r)
-	s.refusing[r.record.Address] = true
+	s.refusing[r.record.Address] = !s.dark
 	for _, closed := range r.open {
-		if !r.cut() {
+		if !r.cut() && !s.dark {
 			s.after(time.Millisecond, closed)
 		}
 	}
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -44,16 +44,19 @@
 // ended as it said; one that fell silent without closing its connections was cut off, or
 // went down with its instance, and what ran there isn't blamed: where agents are cut off
 // again and again and start anew behind the cut, jobs that did nothing would fail. Of one
-// that this leader never heard nothing is known, and it counts.
+// that this leader never heard nothing is known, and it counts. For a task that was seen
+// to end an agent those that fell silent under it count too: connections may go silent
+// just before.
 func (e *Engine) endLost(at *agent, why departure) {
-	crashed := why == replaced && !at.record.Leaving && (at.closed || !at.synced)
+	crashed := why == replaced && !at.record.Leaving
+	seen := at.closed || !at.synced
 	var ends []*wire.RunEnd
 	for _, r := range at.ordered {
 		if r.ending {
 			continue
 		}
 		outcome := wire.RunOutcome_RUN_OUTCOME_LOST
-		if crashed {
+		if crashed && (seen || r.task.Crashes > 0) {
 			outcome = r.crashOutcome()
 		}
 		if outcome == wire.RunOutcome_RUN_OUTCOME_LOST && r.checkpoint == "" {
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -109,6 +109,9 @@
 		// refusing are the addresses at which a process has ended and none has begun, on
 		// an instance that is up.
 		refusing map[string]bool
+		// dark tells that nothing shows that a run ended its agent: its connections had
+		// gone silent before.
+		dark bool
 		// failedRuns counts the runs that ended as failed, acknowledged or not.
 		failedRuns map[string]int
 		logger     *slog.Logger
