--- a/internal/sched/drive/restart_test.go
+++ b/internal/sched/drive/restart_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sycamoredeck.example/internal/sched/drive"
 	"sycamoredeck.example/internal/schema/wire"
 )
 
@@ -136,14 +137,17 @@
 		s.agents[address].record.Incarnation = uint64(i + 1)
 	}
 	s.run(3*time.Second, 0)
+	refused := 0
 	for _, address := range sortedKeys(s.agents) {
 		r := s.agents[address]
 		assert.Equal(t, s.graph.Agent(r.record.Id).Record.Incarnation, r.incarnation)
 		told := &wire.Agent{Id: r.record.Id, Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000}
 		s.engine.Reported(s.now, &wire.ReportAgentRequest{Agent: told}, func(err error) {
 			assert.ErrorContains(t, err, "doesn't tell")
+			refused++
 		})
 	}
+	assert.Equal(t, refused, 3)
 	s.run(20*time.Second, 0)
 	s.assertCompleted(t)
 	assert.Equal(t, starts(s, 0), uint32(1), "the work was begun anew")
@@ -209,3 +213,32 @@
 		assert.Equal(t, starts(s, 0), uint32(1), "the work was begun anew")
 	}
 }
+
+// The first answer of a process that has ended is on its way while its successor answers.
+// It comes in last, and was taken for proof that the successor had ended: what ran there
+// was started elsewhere while it ran on.
+func TestLateFirstAnswerEndsNoSuccessor(t *testing.T) {
+	s := newSim(1, 1, true, faults{born: true})
+	earlier := s.agents["10.0.0.0:1"]
+	s.engine.Turn(s.now)
+	s.report(earlier, false)
+	earlier.cutUntil = time.Hour // its first answer stays on its way
+	s.run(50*time.Millisecond, 0)
+	s.bearAs(earlier.record.Id, earlier.record.Address)
+	later := s.agents["10.0.0.0:1"]
+	for later.fence == 0 {
+		s.run(simTick, 0)
+	}
+	s.now += time.Millisecond
+	s.happen() // the answer of the successor
+	s.engine.Answered(s.now, drive.Answer{
+		Order:   drive.Order{Kind: drive.Hold, Agent: earlier.record, Incarnation: earlier.incarnation, Fence: s.term},
+		Verdict: drive.Accepted, Incarnation: earlier.incarnation,
+	})
+	s.run(time.Second, 0)
+	_, registered := s.graph.Agents()["r-1@2"]
+	assert.Assert(t, registered, "the agent at work was given up: %v", s.graph.Agents())
+	s.submitSpec(&wire.Step{Count: 4, CpuMillis: 1000, EstimateMs: 500})
+	s.run(5*time.Second, 0)
+	s.assertCompleted(t)
+}
