Failure domains can be drained and restored

Cause: an operator who empties a failure domain was answered 404, and new work went on being started there. Excluded: keeping it in the catalog (its version is the operator's), keeping it at entries (lost with them). Change: the replicated state holds which failure domains are drained, with a revision; it refuses placements there. Both engines count their agents as unusable; the engine of steps looks again before each order leaves. Entries hear of it with hello and send no calls there. What runs there is left to its end.

--- a/internal/cli/cmds/operate.go
+++ b/internal/cli/cmds/operate.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"strconv"
+	"strings"
 
 	"github.com/spf13/cobra"
 	"google.golang.org/grpc"
@@ -157,6 +158,9 @@
 			fmt.Fprintf(w, "leader\t%s, term %d, commit index %d\n", r.Leader, r.Term, r.CommitIndex)
 			fmt.Fprintf(w, "configuration\tversion %d\n", r.ConfigurationVersion)
 			fmt.Fprintf(w, "workers\t%d\n", r.Workers)
+			if len(r.DrainedDomains) > 0 {
+				fmt.Fprintf(w, "drained\t%s\n", strings.Join(r.DrainedDomains, " "))
+			}
 			fmt.Fprintf(w, "jobs\t%d queued, %d running, %d finished\n", r.Queued, r.Running, r.Finished)
 			for _, e := range r.Entries {
 				fmt.Fprintf(w, "entry %s\t%s, %s, configuration %d, heard %v ago\n", e.EntryId, e.Address, e.FailureDomain, e.ConfigurationVersion, e.HeardAgo.AsDuration().Round(1e6))
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -66,6 +66,7 @@
 		options Options
 		mu      sync.Mutex
 		records map[string]*record
+		drained map[string]bool // failure domains
 	}
 )
 
@@ -162,10 +163,26 @@
 	}
 }
 
+// SetDrained names the failure domains whose backend servers get no new work.
+func (r *Roster) SetDrained(now time.Time, domains []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drained = map[string]bool{}
+	for _, d := range domains {
+		r.drained[d] = true
+	}
+	r.review(now)
+}
+
 // Sweep takes those out of use whose evidence has grown too old.
 func (r *Roster) Sweep(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.review(now)
+}
+
+// review works out anew which backend servers are usable.
+func (r *Roster) review(now time.Time) {
 	changed := map[string]bool{}
 	for id, k := range r.records {
 		if now.Sub(k.evidence) > forgetAfter {
@@ -212,7 +229,7 @@
 }
 
 func (r *Roster) usable(k *record, now time.Time) bool {
-	return !k.announcement.Leaving && now.Sub(k.evidence) <= r.options.Limit
+	return !k.announcement.Leaving && !r.drained[k.announcement.FailureDomain] && now.Sub(k.evidence) <= r.options.Limit
 }
 
 func (r *Roster) notify(now time.Time, service string) {
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -35,6 +35,22 @@
 	assert.NilError(t, r.Hear(start.Add(at), a, age, true))
 }
 
+// Guards against requests that are sent to a drained failure domain.
+func TestBackendServersOfADrainedDomainAreNotUsable(t *testing.T) {
+	r, count := newRoster()
+	a := announcement(1, false)
+	a.FailureDomain = "east"
+	hear(t, r, 0, 0, a)
+	r.SetDrained(start, []string{"west"})
+	assert.Equal(t, *count, 1)
+	r.SetDrained(start, []string{"west", "east"})
+	assert.Equal(t, *count, 0)
+	hear(t, r, time.Second, 0, a)
+	assert.Equal(t, *count, 0, "news of it must not bring it back")
+	r.SetDrained(start.Add(time.Second), nil)
+	assert.Equal(t, *count, 1)
+}
+
 // Each row is a sequence of news and how many servers are usable after it.
 func TestUsable(t *testing.T) {
 	type news struct {
--- a/internal/front/desk/desk.go
+++ b/internal/front/desk/desk.go
@@ -27,6 +27,8 @@
 		PutCatalog func(context.Context, *wire.PutCatalogRequest) (*wire.PutCatalogResponse, error)
 		GetCatalog func(context.Context, *wire.GetCatalogRequest) (*wire.GetCatalogResponse, error)
 		Report     func(context.Context, *wire.ReportAgentRequest) (*wire.ReportAgentResponse, error)
+		Drain      func(context.Context, *wire.DrainDomainRequest) (*wire.DrainDomainResponse, error)
+		Domains    func(context.Context, *wire.ListDomainsRequest) (*wire.ListDomainsResponse, error)
 	}
 )
 
@@ -35,6 +37,7 @@
 	return Desk{
 		Submit: s.SubmitWork, Inspect: s.InspectWork, Cancel: s.CancelWork,
 		PutCatalog: s.PutCatalog, GetCatalog: s.GetCatalog, Report: s.ReportAgent,
+		Drain: s.DrainDomain, Domains: s.ListDomains,
 	}
 }
 
@@ -47,6 +50,8 @@
 		PutCatalog: ask(dial, wire.WorkServiceClient.PutCatalog),
 		GetCatalog: ask(dial, wire.WorkServiceClient.GetCatalog),
 		Report:     ask(dial, wire.WorkServiceClient.ReportAgent),
+		Drain:      ask(dial, wire.WorkServiceClient.DrainDomain),
+		Domains:    ask(dial, wire.WorkServiceClient.ListDomains),
 	}
 }
 
@@ -71,6 +76,8 @@
 		PutCatalog: either(here, first.PutCatalog, second.PutCatalog),
 		GetCatalog: either(here, first.GetCatalog, second.GetCatalog),
 		Report:     either(here, first.Report, second.Report),
+		Drain:      either(here, first.Drain, second.Drain),
+		Domains:    either(here, first.Domains, second.Domains),
 	}
 }
 
@@ -93,6 +100,8 @@
 		PutCatalog: over(again, wire.WorkServiceClient.PutCatalog),
 		GetCatalog: over(again, wire.WorkServiceClient.GetCatalog),
 		Report:     over(again, wire.WorkServiceClient.ReportAgent),
+		Drain:      over(again, wire.WorkServiceClient.DrainDomain),
+		Domains:    over(again, wire.WorkServiceClient.ListDomains),
 	}
 }
 
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -58,6 +58,9 @@
 		Configured func(*wire.ConfigurationVersion)
 		// EntriesChanged is called with the ids of the entries when they change.
 		EntriesChanged func(ids []string)
+		// Drained is called with the failure domains that get no new work when they
+		// change.
+		Drained func(domains []string)
 	}
 
 	heard struct {
@@ -77,13 +80,14 @@
 		loops     map[string]context.CancelFunc
 		entries   []*wire.EntryStatus
 		ids       []string
+		drains    uint64 // revision of the drained failure domains
 		leader    string
 		term      uint64
 		// leaderChanged is closed when another leader than this one is known.
 		leaderChanged chan struct{}
 		// fetching guards against several loops fetching one version.
 		fetching sync.Mutex
-		// reviewing keeps EntriesChanged in the order of the views.
+		// reviewing keeps EntriesChanged and Drained in the order of the views.
 		reviewing sync.Mutex
 	}
 )
@@ -169,13 +173,14 @@
 	defer cancel()
 	response, err := wire.NewControlServiceClient(conn).Hello(limited, &wire.HelloRequest{
 		Entry: self, KnownLeader: known.GetLeaderAddress(), KnownTerm: known.GetTerm(),
-		KnownEntries: known.GetEntriesDigest(),
+		KnownEntries: known.GetEntriesDigest(), KnownDrains: u.drainRevision(),
 	})
 	if err != nil {
 		u.noteFailed(address)
 		return false
 	}
 	u.note(address, response)
+	u.noteDrained(response)
 	u.catchUp(ctx, conn, response)
 	return true
 }
@@ -196,6 +201,32 @@
 	u.review()
 }
 
+func (u *Uplink) drainRevision() uint64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.drains
+}
+
+// noteDrained takes over which failure domains are drained, unless later ones are
+// known: a replica may lag behind another one that told before.
+func (u *Uplink) noteDrained(r *wire.HelloResponse) {
+	u.reviewing.Lock()
+	defer u.reviewing.Unlock()
+	u.mu.Lock()
+	newer := r.DrainRevision > u.drains
+	if newer {
+		u.drains = r.DrainRevision
+	}
+	u.mu.Unlock()
+	if !newer {
+		return
+	}
+	u.options.Logger.Info("drained failure domains changed", "domains", r.DrainedDomains, "revision", r.DrainRevision)
+	if u.options.Drained != nil {
+		u.options.Drained(r.DrainedDomains)
+	}
+}
+
 func (u *Uplink) noteFailed(address string) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- /dev/null
+++ b/internal/itest/drain_test.go
@@ -0,0 +1,63 @@
+// This file defines the proofs about drained failure domains.
+
+package itest
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+func (c *cluster) drain(entry, domain string, restore bool) *wire.DrainDomainResponse {
+	c.t.Helper()
+	ctx, cancel := c.context()
+	defer cancel()
+	r, err := wire.NewWorkServiceClient(c.at(entry)).DrainDomain(ctx, &wire.DrainDomainRequest{FailureDomain: domain, Restore: restore})
+	assert.NilError(c.t, err)
+	return r
+}
+
+// Guards against calls and tasks that go into a drained failure domain, before and after
+// the control leader is killed and all control processes start anew.
+func TestDrainedDomainGetsNoNewWork(t *testing.T) {
+	c := newCluster(t, 3, 2)
+	c.configure()
+	for _, domain := range []string{"east", "west"} {
+		c.server("server-"+domain, "--failure-domain", domain, "--slots", "32")
+		c.worker("worker-"+domain, "--failure-domain", domain)
+	}
+	c.untilUsable(2)
+	c.untilWorkers(2)
+	assert.Equal(t, c.drain("entry-0", "east", false).Answer, wire.WorkAnswer_WORK_ANSWER_DONE)
+	c.untilUsable(1)
+	assertOnlyWest := func(name string) {
+		t.Helper()
+		for i := range 4 {
+			c.until("a call is answered", func() bool {
+				r, err := c.call(c.entries[i%2], fmt.Sprint(name, i), true)
+				return err == nil && r.Outcome == wire.Outcome_OUTCOME_COMPLETED && r.BackendServerId == "server-west"
+			})
+			id := c.submitAgain(c.entries[i%2], fmt.Sprint(name, "-job-", i), "batch", "units=1")
+			assert.Equal(t, c.untilState(id, wire.JobState_JOB_STATE_FINISHED).WorkerId, "worker-west")
+		}
+	}
+	assertOnlyWest("drained")
+	c.kill(c.leader())
+	assertOnlyWest("next-leader")
+	for _, name := range c.controls {
+		_ = c.process(name).cmd.Process.Kill() // one has ended before
+		c.wait(name)
+	}
+	for _, name := range c.controls {
+		c.restart(name)
+	}
+	c.leader()
+	assertOnlyWest("all-started-anew")
+	assert.DeepEqual(t, c.status().DrainedDomains, []string{"east"})
+	c.drain("entry-1", "east", true)
+	c.untilUsable(2)
+	c.assertPromises()
+}
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -56,6 +56,9 @@
 		term    uint64
 		version uint64
 		members []*wire.ControlMember
+		// drained are the failure domains that get no new work, as of drains.
+		drained []string
+		drains  uint64
 		// safe tells that enough replicas vote to survive the losses that the
 		// settings name.
 		safe bool
@@ -282,14 +285,15 @@
 	version := c.machine.Configuration().Version
 	leader := addressOf(members, status.Leader)
 	safe := c.enoughVoters(members)
-	unchanged := old.leads == leads && old.term == status.Term && old.version == version && old.leader == leader && old.safe == safe
+	drained, drains := c.machine.Graph().DrainedDomains()
+	unchanged := old.drains == drains && old.leads == leads && old.term == status.Term && old.version == version && old.leader == leader && old.safe == safe
 	if unchanged && c.seenMembers == members {
 		return
 	}
 	c.seenMembers = members
 	c.founder.SetMembership(members)
 	c.admin.SetReady(leader != "")
-	c.view.Store(&view{leads: leads, leader: leader, term: status.Term, version: version, members: members.GetMembers(), safe: safe, changed: make(chan struct{})})
+	c.view.Store(&view{leads: leads, leader: leader, term: status.Term, version: version, members: members.GetMembers(), drained: drained, drains: drains, safe: safe, changed: make(chan struct{})})
 	close(old.changed)
 }
 
--- /dev/null
+++ b/internal/run/ctrl/domain.go
@@ -0,0 +1,73 @@
+// This file defines how a control replica drains and restores failure domains.
+
+package ctrl
+
+import (
+	"context"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+)
+
+var (
+	domainsDrained  = metrics.NewCounter("sycamoredeck_failure_domains_drained_total")
+	domainsRestored = metrics.NewCounter("sycamoredeck_failure_domains_restored_total")
+)
+
+// DrainDomain commits that a failure domain gets no new work, or gets it again. A
+// repeated order is acknowledged and changes nothing.
+func (s *workService) DrainDomain(ctx context.Context, r *wire.DrainDomainRequest) (*wire.DrainDomainResponse, error) {
+	if err := graph.CheckDomain(r.FailureDomain); err != nil {
+		return &wire.DrainDomainResponse{Answer: wire.WorkAnswer_WORK_ANSWER_INVALID, Reason: err.Error()}, nil
+	}
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	answer := &wire.DrainDomainResponse{Answer: wire.WorkAnswer_WORK_ANSWER_DONE}
+	done := false
+	err := s.read(ctx, func() {
+		g := s.machine.Graph()
+		done = g.Drained(r.FailureDomain) != r.Restore
+		for _, d := range g.Domains() {
+			if d.FailureDomain == r.FailureDomain {
+				answer.Agents = d.Agents
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if done {
+		s.logger.Info("failure domain already so", "domain", r.FailureDomain, "drained", !r.Restore)
+		return answer, nil
+	}
+	command := &wire.DrainDomain{FailureDomain: r.FailureDomain, Restore: r.Restore}
+	result, err := s.commit(ctx, &wire.WorkCommand{Body: &wire.WorkCommand_DrainDomain{DrainDomain: command}})
+	if err != nil {
+		s.logger.Info("failure domain not known to be changed", "domain", r.FailureDomain, "drained", !r.Restore, "error", err)
+		return nil, err
+	}
+	if result.Err != nil {
+		answer.Answer, answer.Reason = answerOf(result.Err), result.Err.Error()
+		return answer, nil
+	}
+	if r.Restore {
+		domainsRestored.Inc()
+	} else {
+		domainsDrained.Inc()
+	}
+	s.logger.Info("failure domain changed", "domain", r.FailureDomain, "drained", !r.Restore, "agents", answer.Agents)
+	return answer, nil
+}
+
+// ListDomains gives the failure domains that have agents or are drained.
+func (s *workService) ListDomains(ctx context.Context, _ *wire.ListDomainsRequest) (*wire.ListDomainsResponse, error) {
+	if err := s.ready(); err != nil {
+		return nil, err
+	}
+	answer := &wire.ListDomainsResponse{}
+	err := s.read(ctx, func() { answer.Domains = s.machine.Graph().Domains() })
+	return answer, err
+}
--- a/internal/run/ctrl/operator.go
+++ b/internal/run/ctrl/operator.go
@@ -283,6 +283,7 @@
 		answer.Leader, answer.Term, answer.CommitIndex = s.self.Name, core.Term, core.Commit
 		answer.ConfigurationVersion = s.machine.Configuration().Version
 		answer.Workers = uint32(len(s.machine.Workers()))
+		answer.DrainedDomains, _ = s.machine.Graph().DrainedDomains()
 		answer.Queued, answer.Running, answer.Finished = uint32(queued), uint32(running), finished
 	})
 	return answer, turned(err)
--- a/internal/run/ctrl/peer.go
+++ b/internal/run/ctrl/peer.go
@@ -110,6 +110,7 @@
 	v := s.awaitNews(ctx, r)
 	answer := &wire.HelloResponse{
 		LeaderAddress: v.leader, Term: v.term, ConfigurationVersion: v.version, Members: v.members,
+		DrainedDomains: v.drained, DrainRevision: v.drains,
 	}
 	answer.Entries, answer.EntriesDigest = s.entries.listUnless(r.KnownEntries, s.clock.Now())
 	return answer, nil
@@ -120,7 +121,7 @@
 func (s *controlService) awaitNews(ctx context.Context, r *wire.HelloRequest) *view {
 	v := s.view.Load()
 	deadline := s.clock.After(helloHold)
-	for v.version <= r.Entry.ConfigurationVersion && v.leader == r.KnownLeader && v.term == r.KnownTerm {
+	for v.version <= r.Entry.ConfigurationVersion && v.drains <= r.KnownDrains && v.leader == r.KnownLeader && v.term == r.KnownTerm {
 		select {
 		case <-v.changed:
 		case <-deadline:
--- a/internal/run/entry/desk.go
+++ b/internal/run/entry/desk.go
@@ -54,6 +54,16 @@
 	return s.desk.GetCatalog(ctx, r)
 }
 
+// DrainDomain has the leader keep new work out of a failure domain, or restore it.
+func (s *workService) DrainDomain(ctx context.Context, r *wire.DrainDomainRequest) (*wire.DrainDomainResponse, error) {
+	return s.desk.Drain(ctx, r)
+}
+
+// ListDomains asks the leader which failure domains there are.
+func (s *workService) ListDomains(ctx context.Context, r *wire.ListDomainsRequest) (*wire.ListDomainsResponse, error) {
+	return s.desk.Domains(ctx, r)
+}
+
 // desk has the leader deal with clients of the platform, and the next leader
 // while it changes. Each change that a client asks for, and each request that
 // isn't answered, gives a log line.
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -130,6 +130,7 @@
 		Self:           &wire.EntryStatus{EntryId: common.InstanceId, Address: setup.Advertised(common), FailureDomain: common.FailureDomain},
 		Configured:     func(v *wire.ConfigurationVersion) { e.calls.Configure(v) },
 		EntriesChanged: e.entriesChanged,
+		Drained:        func(domains []string) { e.roster.SetDrained(e.clock.Now(), domains) },
 	})
 	e.roster = roster.New(roster.Options{
 		Limit:   e.settings.EvidenceLimit.AsDuration(),
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -100,9 +100,12 @@
 
 // usable tells whether new work may be placed there.
 func (e *Engine) usable(at *agent) bool {
-	return at.synced && !at.record.Leaving && !at.dropping && !e.suspect(at) && e.now >= at.restUntil && e.roomKnown(at)
+	return at.synced && !at.record.Leaving && !at.dropping && !e.suspect(at) && e.now >= at.restUntil && e.roomKnown(at) && !e.drained(at)
 }
 
+// drained tells whether the agent's failure domain gets no new work.
+func (e *Engine) drained(at *agent) bool { return e.graph.Drained(at.record.FailureDomain) }
+
 // roomKnown tells whether what the state says of an agent's room can be relied on. A
 // room may have shrunk while there was no leader to be told; an agent that guards it
 // refuses what doesn't fit, another one would be brought over it.
--- a/internal/sched/drive/faults_test.go
+++ b/internal/sched/drive/faults_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"sycamoredeck.example/internal/schema/wire"
@@ -106,6 +107,9 @@
 			s.shrink(r)
 		}
 	}
+	if s.faults.drain > 0 && s.chance(s.faults.drain) {
+		s.drainSome()
+	}
 	if s.leads && s.chance(s.faults.leader) {
 		s.depose()
 	}
@@ -118,6 +122,32 @@
 	}
 }
 
+// domainOf spreads agents over three failure domains.
+func domainOf(address string) string {
+	return fmt.Sprintf("domain-%d", xxhash.Sum64String(address)%3)
+}
+
+// drain keeps new work out of a failure domain, or restores it.
+func (s *sim) drain(domain string, restore bool) {
+	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_DrainDomain{DrainDomain: &wire.DrainDomain{FailureDomain: domain, Restore: restore}}})
+	if restore {
+		delete(s.drainedAt, domain)
+	} else if _, drained := s.drainedAt[domain]; !drained {
+		s.drainedAt[domain] = s.now
+	}
+}
+
+// drainSome drains a failure domain for some seconds. Orders are sent again, and others
+// may be drained meanwhile.
+func (s *sim) drainSome() {
+	domain := fmt.Sprintf("domain-%d", s.random.IntN(3))
+	s.drain(domain, false)
+	if s.random.IntN(2) == 0 {
+		s.drain(domain, false)
+	}
+	s.after(time.Duration(1+s.random.IntN(8))*time.Second, func() { s.drain(domain, true) })
+}
+
 // shrink halves an agent's room, and gives it back after some seconds.
 func (s *sim) shrink(r *modelAgent) {
 	r.fullRoom, r.shrunkAt = r.record.CpuMillis, s.now
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -181,6 +181,10 @@
 
 // start sends the order, for the first time or again.
 func (e *Engine) start(r *run) {
+	if e.drained(r.agent) {
+		e.giveUpStart(r, "its agent's failure domain is drained")
+		return
+	}
 	if r.agent.failed > 0 || !e.roomKnown(r.agent) {
 		// Its deadline would prolong the lease of an agent that may be gone; and what isn't
 		// known to fit waits.
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -55,6 +55,7 @@
 	crashing       float64 // of each job: its first task ends every agent that starts it
 	restart        float64 // an agent crashes and starts again under its id
 	born           bool    // agents tell their incarnations
+	drain          float64 // a failure domain is drained for some seconds
 	// off are mechanisms that are switched off.
 	off map[drive.Mechanism]bool
 }
@@ -121,6 +122,8 @@
 		cancelled map[string]time.Duration
 		completed map[string]bool
 		broken    []string
+		// drainedAt is since when each drained failure domain is.
+		drainedAt map[string]time.Duration
 	}
 )
 
@@ -128,7 +131,8 @@
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 11)), faults: f, guarded: guarded, graph: graph.New(),
 		agents: map[string]*modelAgent{}, steps: map[string]*wire.Step{}, doneNoted: map[string]bool{},
-		crashing: map[string]time.Duration{}, crashes: map[string]int{}, failedRuns: map[string]int{}, refusing: map[string]bool{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		drainedAt: map[string]time.Duration{},
+		crashing:  map[string]time.Duration{}, crashes: map[string]int{}, failedRuns: map[string]int{}, refusing: map[string]bool{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		failures: map[string]int{}, issued: map[string]time.Duration{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
 	}
 	s.tailOf = func(_ *modelAgent, run *modelRun) int { return int(run.step.TailTargetMs) / 2 }
@@ -176,7 +180,7 @@
 	delete(s.refusing, address)
 	s.agents[address] = &modelAgent{
 		sim: s, offset: time.Duration(s.random.Int64N(int64(time.Hour))), rate: 1 - 0.02*s.random.Float64(),
-		record: &wire.Agent{Id: id, Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000},
+		record: &wire.Agent{Id: id, Address: address, Pool: "p", CpuMillis: 8000, MemoryMb: 8000, FailureDomain: domainOf(address)},
 		runs:   map[string]*modelRun{}, closed: map[string]uint32{}, failing: s.chance(s.faults.failing),
 	}
 	if s.faults.born || s.born {
@@ -324,6 +328,10 @@
 	if at, ok := s.cancelled[o.Run.Job]; ok && o.SentAt > at {
 		s.check(false, "%s is ordered %v after its job was cancelled", key, o.SentAt-at)
 	}
+	domain := on.record.FailureDomain
+	if at, drained := s.drainedAt[domain]; drained && o.SentAt > at {
+		s.check(false, "%s is ordered %v after %s was drained", key, o.SentAt-at, domain)
+	}
 	if step.SpreadLimit > 0 {
 		beside := 0
 		for _, run := range on.runs {
@@ -359,6 +367,9 @@
 // calm ends all faults.
 func (s *sim) calm() {
 	s.quiet, s.quietSince, s.faults = true, s.now, faults{off: s.faults.off}
+	for _, domain := range sortedKeys(s.drainedAt) {
+		s.drain(domain, true)
+	}
 	for _, r := range s.agents {
 		r.failing, r.cutUntil = false, min(r.cutUntil, s.now)
 	}
--- a/internal/sched/plan/place.go
+++ b/internal/sched/plan/place.go
@@ -116,7 +116,7 @@
 		id := w.Record.WorkerId
 		capacity := state.AmountOf(w.Record.Capacity)
 		u.total = u.total.With(capacity)
-		if w.Quarantine != "" || p.losing[id] || !p.leases.Held(id, w.Record.Incarnation, now) {
+		if w.Quarantine != "" || p.options.Machine.Drained(w) || p.losing[id] || !p.leases.Held(id, w.Record.Incarnation, now) {
 			continue
 		}
 		u.seats = append(u.seats, seat{worker: w, free: p.free(w), capacity: capacity, suspect: hasSuspect(w)})
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -53,6 +53,8 @@
 	case *wire.WorkCommand_Learned:
 		g.learned = body.Learned
 		return Result{}
+	case *wire.WorkCommand_DrainDomain:
+		return Result{Err: g.drain(at, body.DrainDomain)}
 	case *wire.WorkCommand_Forget:
 		g.forget(body.Forget.EndedBefore.AsTime())
 		return Result{}
--- /dev/null
+++ b/internal/store/graph/drain_test.go
@@ -0,0 +1,106 @@
+// This file defines the tests of drained failure domains.
+
+package graph
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+func drainCommand(domain string, restore bool) *wire.WorkCommand {
+	return &wire.WorkCommand{Body: &wire.WorkCommand_DrainDomain{DrainDomain: &wire.DrainDomain{FailureDomain: domain, Restore: restore}}}
+}
+
+// inDomains is a state with an agent in each of two failure domains, and a job.
+func inDomains(t *testing.T) *Graph {
+	t.Helper()
+	g := prepared(t, &wire.Step{Count: 2})
+	for agent, domain := range map[string]string{"a1": "east", "a2": "west"} {
+		put := agentCommand(agent, false)
+		put.GetPutAgent().FailureDomain = domain
+		assert.NilError(t, g.Apply(noon, put).Err)
+	}
+	return g
+}
+
+func TestDrainedDomainTakesNoRuns(t *testing.T) {
+	g := inDomains(t)
+	assert.NilError(t, g.Apply(noon, drainCommand("east", false)).Err)
+	assert.ErrorIs(t, g.Apply(noon, placeCommand("a1", runOf(0, 0, 1))).Placed[0], ErrDrained)
+	assert.NilError(t, g.Apply(noon, placeCommand("a2", runOf(0, 1, 1))).Placed[0])
+	assert.NilError(t, g.Apply(noon, drainCommand("east", true)).Err)
+	assert.NilError(t, g.Apply(noon, placeCommand("a1", runOf(0, 0, 1))).Placed[0])
+}
+
+// Guards against a repeated order being refused, or taken for a change.
+func TestDrainIsIdempotent(t *testing.T) {
+	g := inDomains(t)
+	for range 2 {
+		assert.NilError(t, g.Apply(noon, drainCommand("east", false)).Err)
+	}
+	domains, revision := g.DrainedDomains()
+	assert.DeepEqual(t, domains, []string{"east"})
+	assert.Equal(t, revision, uint64(1))
+	for range 2 {
+		assert.NilError(t, g.Apply(noon, drainCommand("east", true)).Err)
+	}
+	assert.NilError(t, g.Apply(noon, drainCommand("never-drained", true)).Err)
+	domains, revision = g.DrainedDomains()
+	assert.Equal(t, len(domains), 0)
+	assert.Equal(t, revision, uint64(2))
+}
+
+// Guards against a drain that a replica forgets when it starts from a snapshot.
+func TestDrainIsInSnapshots(t *testing.T) {
+	g := inDomains(t)
+	g.Apply(noon, drainCommand("east", false))
+	loaded := New()
+	loaded.Load(g.Save())
+	assert.Assert(t, loaded.Drained("east") && !loaded.Drained("west"))
+	assert.Assert(t, proto.Equal(loaded.Save(), g.Save()))
+	t.Run("one of an earlier version", func(t *testing.T) {
+		image := g.Save()
+		image.DrainedDomains, image.DrainRevision = nil, 0
+		old := New()
+		old.Load(image)
+		assert.Assert(t, !old.Drained("east"))
+		assert.NilError(t, old.Apply(noon, drainCommand("east", false)).Err)
+	})
+}
+
+func TestDrainedDomainsAreBounded(t *testing.T) {
+	g := inDomains(t)
+	for i := range maxDrainedDomains {
+		assert.NilError(t, g.Apply(noon, drainCommand(fmt.Sprint("d", i), false)).Err)
+	}
+	assert.ErrorIs(t, g.Apply(noon, drainCommand("one-more", false)).Err, ErrTooManyDrained)
+	assert.NilError(t, g.Apply(noon, drainCommand("d0", false)).Err)
+	assert.NilError(t, g.Apply(noon, drainCommand("d0", true)).Err)
+	assert.NilError(t, g.Apply(noon, drainCommand("one-more", false)).Err)
+}
+
+func TestDomainNames(t *testing.T) {
+	for name, ok := range map[string]bool{
+		"hall-grandi": true, "a": true, strings.Repeat("a", 64): true,
+		"": false, strings.Repeat("a", 65): false, "a/b": false, "Hall": false, "a b": false, "..": false,
+	} {
+		assert.Equal(t, CheckDomain(name) == nil, ok, "%q", name)
+	}
+}
+
+func TestDomainsAreListed(t *testing.T) {
+	g := inDomains(t)
+	g.Apply(noon, placeCommand("a2", runOf(0, 0, 1)))
+	g.Apply(noon, drainCommand("nobody-there", false))
+	list := g.Domains()
+	assert.Equal(t, len(list), 3)
+	assert.Equal(t, list[0].FailureDomain, "east")
+	assert.Assert(t, list[1].DrainedSince != nil && list[1].Agents == 0, list[1].FailureDomain)
+	assert.Equal(t, list[2].Runs, uint32(1))
+}
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -38,6 +38,7 @@
 		pending  map[string]int // accepted jobs without a begun task, by queue
 		sequence uint64
 		learned  *wire.Learned
+		drains   drains
 		// Changed is called after each command that may have changed what is to
 		// be placed or where it may go; nil is allowed.
 		Changed func()
@@ -73,6 +74,7 @@
 	g.pending = map[string]int{}
 	g.sequence = 0
 	g.learned = nil
+	g.drains = drains{since: map[string]time.Time{}}
 }
 
 // Catalog returns the catalog in force; version 0 is the empty one. It must
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -25,6 +25,7 @@
 	for id, at := range g.dropped {
 		image.Dropped[id] = timestamppb.New(at)
 	}
+	g.drains.save(image)
 	return image
 }
 
@@ -78,6 +79,7 @@
 	}
 	g.sequence = image.NextSequence
 	g.learned = image.Learned
+	g.drains.load(image)
 	for _, r := range image.Agents {
 		g.agents[r.Id] = &Agent{Record: r, Tasks: map[*Task]bool{}}
 	}
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -42,6 +42,8 @@
 		return ErrUnknownAgent
 	case r.Record.Leaving:
 		return ErrLeaving
+	case g.Drained(r.Record.FailureDomain):
+		return ErrDrained
 	case !t.Placeable() || t.Stage.Job.Ended() || t.Stage.waitsFor > 0:
 		return ErrNotReady
 	case p.Id.Run <= t.Run:
--- a/internal/store/state/apply.go
+++ b/internal/store/state/apply.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
 )
 
 // Why a command changes nothing. The texts reach callers.
@@ -194,6 +195,8 @@
 		return ErrUnknownWorker
 	case w.Quarantine != "":
 		return ErrQuarantined
+	case m.Drained(w):
+		return graph.ErrDrained
 	}
 	need := AmountOf(j.Spec.Resources)
 	if !w.Committed.With(need).Fits(AmountOf(w.Record.Capacity)) {
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -156,6 +156,9 @@
 	return m.workers[id]
 }
 
+// Drained tells whether a worker's failure domain gets no new work.
+func (m *Machine) Drained(w *Worker) bool { return m.graph.Drained(w.Record.FailureDomain) }
+
 // Workers returns all registered workers by id. It must not be changed.
 func (m *Machine) Workers() map[string]*Worker {
 	return m.workers
