The next leader knows for how long leases on silent agents may run; a lease is never longer than agents take

(2) The platform cuts leases to max-hold-ms; where that is below 9 s, agents end their work before the leader believes it. (3) An agent that was silent for a lease was dropped, and one that tells no start was then never used again: with shorter leases a cut of some seconds would cost agents for good. Change: MaxAgentLease, filled from the platform's bound. A leader commits by when the leases on a silent agent end, and grants it nothing until it is committed that it answers again; each replica counts from when it applied that. After a lease the runs are given up and the agent stays registered for ten minutes.

--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -60,7 +60,8 @@
 	c.engine = drive.New(drive.Options{
 		Graph: c.machine.Graph(), Propose: c.node.Propose,
 		Leads: c.drives, MayOrder: c.node.RightToLead, Send: c.carry, Wall: time.Now,
-		Lease: c.settings.AgentLease.AsDuration(), StopGrace: c.settings.StopGrace.AsDuration(),
+		Lease:           min(c.settings.AgentLease.AsDuration(), c.settings.MaxAgentLease.AsDuration()),
+		StopGrace:       c.settings.StopGrace.AsDuration(),
 		OtherRackFactor: c.settings.OtherRackFactor,
 		Advise:          c.advise, Off: off, Logger: c.logger,
 	})
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -24,6 +24,12 @@
 	maxLooks = 800
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 250 * time.Millisecond
+	// lapsedRetry is the same once nothing runs there any more.
+	lapsedRetry = time.Second
+	// forgetSilent is how long a silent agent stays registered. One that tells no
+	// incarnation and was forgotten is never used again, since what it reports may have
+	// been sent before its end.
+	forgetSilent = 10 * time.Minute
 	// suspectAfter is how much later than due an answer may come before the
 	// agent gets no new work.
 	suspectAfter = 400 * time.Millisecond
@@ -53,8 +59,10 @@
 	nextHold  time.Duration
 	answered  time.Duration // when the last hold was answered
 	failed    int           // holds in a row without an answer
-	closed    bool          // they show that its process has ended; see noteClosed
-	lastSeen  uint64        // ends up to here are committed
+	// bounded tells that it is committed, or is being, by when its leases have run out.
+	bounded  bool
+	closed   bool   // they show that its process has ended; see noteClosed
+	lastSeen uint64 // ends up to here are committed
 	// incarnation is that of the process that this is: the registered one or, where none
 	// is registered, that which answered first; 0 while no process told one.
 	incarnation uint64
@@ -87,7 +95,7 @@
 }
 
 func (e *Engine) newAgent(registered *graph.Agent) *agent {
-	at := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now, roomStale: true, incarnation: registered.Record.Incarnation}
+	at := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answered: e.now, roomStale: true, incarnation: registered.Record.Incarnation, bounded: registered.Silence != nil}
 	e.agents[registered.Record.Id] = at
 	e.pools, e.sorted = nil, nil
 	return at
@@ -98,9 +106,12 @@
 	return at.failed > 0 || (at.holding && e.now > at.holdSince+at.holdFor+suspectAfter)
 }
 
+// mayBeGranted tells whether an order may carry a deadline, which prolongs the lease.
+func (r *agent) mayBeGranted() bool { return r.failed == 0 && !r.bounded }
+
 // usable tells whether new work may be placed there.
 func (e *Engine) usable(at *agent) bool {
-	return at.synced && !at.record.Leaving && !at.dropping && !e.suspect(at) && e.now >= at.restUntil && e.roomKnown(at) && !e.drained(at)
+	return at.synced && !at.bounded && !at.record.Leaving && !at.dropping && !e.suspect(at) && e.now >= at.restUntil && e.roomKnown(at) && !e.drained(at)
 }
 
 // drained tells whether the agent's failure domain gets no new work.
@@ -116,14 +127,17 @@
 // guarded tells whether an agent refuses starts for which it has no room.
 func (e *Engine) guarded(at *agent) bool { return e.graph.Pool(at.record.Pool).GetGuarded() }
 
-// tendAgent renews the lease, and gives up an agent whose lease has run out.
+// tendAgent renews the lease, and gives up what ran on an agent whose lease has run out.
 func (e *Engine) tendAgent(at *agent) {
 	if at.dropping {
 		return
 	}
-	if at.failed > 0 && e.now-at.answered > e.options.Lease && at.clock.lapsed(e.now, e.since, e.options.Lease) {
-		e.dropAgent(at, cutOff, "silent until its lease had surely run out")
-		return
+	if at.failed > 0 && e.lapsed(at) {
+		if e.now-at.answered >= forgetSilent {
+			e.dropAgent(at, cutOff, "silent for too long")
+			return
+		}
+		e.giveUpRuns(at)
 	}
 	if at.holding || at.ending || e.now < at.nextHold {
 		return
@@ -133,7 +147,7 @@
 	// A silent agent gets no longer lease: each one sent may have been taken, so
 	// its end would move ahead with every try, and an agent that is gone for good
 	// would never be given up, nor its work run elsewhere.
-	if at.failed == 0 {
+	if at.mayBeGranted() {
 		o.Deadline = at.clock.grant(e.now, e.options.Lease)
 	}
 	e.send(at, o)
@@ -182,6 +196,9 @@
 			e.options.Logger.Info("agent silent", "agent", at.record.Id, "verdict", a.Verdict.String(), "detail", a.Detail)
 		}
 		at.nextHold = e.now + holdRetry
+		if len(at.ordered) == 0 && e.lapsed(at) {
+			at.nextHold = e.now + lapsedRetry
+		}
 		return
 	}
 	if at.failed > 0 {
--- a/internal/sched/drive/clock.go
+++ b/internal/sched/drive/clock.go
@@ -52,17 +52,21 @@
 	return d
 }
 
-// lapsed tells whether every lease on the agent has surely run out: those
-// that this leader sent by the agent's clock at its slowest, those of earlier
-// leaders by the longest lease since they could last send one.
-func (c *agentClock) lapsed(now, ledSince, lease time.Duration) bool {
-	earlier := (earlierLeader + lease) * 100 / (100 - slowPercent)
-	if now < ledSince+earlier+lapseSlack {
-		return false
-	}
-	if c.deadline == 0 {
-		return true
+// lapsesAt is when every lease on the agent has run out, but for lapseSlack: those that
+// this leader sent by the agent's clock at its slowest, those of earlier leaders by the
+// longest lease since they could last send one.
+func (c *agentClock) lapsesAt(ledSince, lease time.Duration) time.Duration {
+	at := ledSince + bySlowClock(earlierLeader+lease)
+	if c.deadline != 0 {
+		at = max(at, c.readAt+bySlowClock(c.deadline-c.reading))
 	}
-	slowest := c.reading + (now-c.readAt)*(100-slowPercent)/100
-	return slowest > c.deadline+lapseSlack
+	return at
+}
+
+// bySlowClock is how long a time of an agent's clock may take by ours.
+func bySlowClock(d time.Duration) time.Duration { return d * 100 / (100 - slowPercent) }
+
+// lapsed tells whether every lease on the agent has surely run out.
+func (c *agentClock) lapsed(now, ledSince, lease time.Duration) bool {
+	return now > c.lapsesAt(ledSince, lease)+lapseSlack
 }
--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -101,6 +101,8 @@
 		{"late orders, unguarded", false, faults{late: 0.05, lost: 0.05, fail: 0.02}, nil},
 		{"crashes", true, faults{crash: 0.004, cut: 0.004, fail: 0.02}, nil},
 		{"leaders", true, faults{leader: 0.002, late: 0.03, lost: 0.03, fail: 0.02}, nil},
+		{"cuts and leaders", true, faults{cut: 0.006, leader: 0.003, late: 0.02, lost: 0.02, fail: 0.02}, nil},
+		{"gone for good, leaders", true, faults{gone: 0.003, cut: 0.003, leader: 0.003, born: true, fail: 0.02}, nil},
 		{"gone for good", true, faults{gone: 0.003, late: 0.02, fail: 0.02}, nil},
 		{"cancels of late starts", true, faults{cancel: 0.03, late: 0.15, lost: 0.05, leader: 0.002, fail: 0.02}, nil},
 		{"leaving", true, faults{leave: 0.002, cancel: 0.003, fail: 0.02}, nil},
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -97,6 +97,8 @@
 		nextSave      time.Duration // when what is learned is kept again
 		saved         *wire.Learned
 		nextLook      time.Duration
+		nextSilence   time.Duration // when silent agents are looked for
+		notingSilence bool          // such a proposal is under way
 		// nextTend and nextPass are when agents and runs are looked after, and
 		// tasks placed, at the earliest; passTook is what the last pass took.
 		nextTend, nextPass time.Duration
@@ -163,7 +165,7 @@
 	e.readySince = map[*graph.Stage]time.Duration{}
 	e.clearing = map[*graph.Task]string{}
 	e.advice, e.advising = map[*graph.Stage]*advice{}, false
-	e.placing = false
+	e.placing, e.notingSilence = false, false
 	e.dirty = true
 }
 
@@ -191,6 +193,7 @@
 	if now >= e.nextTend {
 		e.nextTend = now + tendInterval
 		e.tend()
+		e.tendSilence()
 		e.remember()
 	}
 	e.place()
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -70,6 +70,35 @@
 	}
 }
 
+// giveUpRuns ends all runs on a silent agent whose lease has run out. The agent stays
+// registered: one that was cut off is used again once it answers.
+func (e *Engine) giveUpRuns(at *agent) {
+	var ends []*wire.RunEnd
+	var lost []*run
+	for _, r := range at.ordered {
+		if r.ending {
+			continue
+		}
+		lost = append(lost, r)
+		ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: at.record.Id, Outcome: wire.RunOutcome_RUN_OUTCOME_LOST, Checkpoint: r.checkpoint})
+	}
+	if len(lost) == 0 {
+		return
+	}
+	agentsDropped.Inc()
+	runsLost.Add(len(lost))
+	e.options.Logger.Info("agent given up", "agent", at.record.Id, "address", at.record.Address, "reason", "silent until its lease had surely run out",
+		"runs", len(lost), "silent", e.now-at.answered, "lost", lostText(at))
+	for _, r := range lost {
+		r.ending = true
+	}
+	e.commitEnds(ends, func(ok bool) {
+		for _, r := range lost {
+			r.ending = ok
+		}
+	})
+}
+
 // crashOutcome is how a run ended whose agent has crashed. A start without an answer
 // may never have reached the agent, which may have been dark by then, so it counts less
 // than one that the agent took. A task that ends agents before they answer is still
--- a/internal/sched/drive/restart_test.go
+++ b/internal/sched/drive/restart_test.go
@@ -181,6 +181,15 @@
 	}
 }
 
+// Guards against a job that fails for agents which crashed without its doing: of five
+// crashes that count against it, four were of agents that the leader hadn't heard yet, or
+// that fell silent first.
+func TestRestartsAcrossLeadersFailNoJob(t *testing.T) {
+	s := newSim(92, 6, true, faults{born: true, restart: 0.01, late: 0.02, lost: 0.02, cut: 0.002, leader: 0.001, fail: 0.02})
+	s.run(30*time.Second, 1)
+	assertSettled(t, 92, s)
+}
+
 // Tasks that had ended as done began once more, right after the first election. An agent
 // had started again before any of its reports was taken, and the reports of both its
 // processes came within the time of a commit, the earlier one's last. Both were registered
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -152,7 +152,7 @@
 	switch r.phase {
 	case phaseUnresolved:
 		// While holds fail too, another start would fare no better.
-		if e.now >= r.nextStart && r.agent.failed == 0 {
+		if e.now >= r.nextStart && r.agent.mayBeGranted() {
 			e.start(r)
 		}
 	case phaseRunning:
@@ -185,7 +185,7 @@
 		e.giveUpStart(r, "its agent's failure domain is drained")
 		return
 	}
-	if r.agent.failed > 0 || !e.roomKnown(r.agent) {
+	if !r.agent.mayBeGranted() || !e.roomKnown(r.agent) {
 		// Its deadline would prolong the lease of an agent that may be gone; and what isn't
 		// known to fit waits.
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -135,6 +135,7 @@
 		crashing:  map[string]time.Duration{}, crashes: map[string]int{}, failedRuns: map[string]int{}, refusing: map[string]bool{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		failures: map[string]int{}, issued: map[string]time.Duration{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
 	}
+	s.graph.Boot = func() time.Duration { return s.now }
 	s.tailOf = func(_ *modelAgent, run *modelRun) int { return int(run.step.TailTargetMs) / 2 }
 	queue := &wire.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 2}
 	if f.advice {
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -55,6 +55,9 @@
 		return Result{}
 	case *wire.WorkCommand_DrainDomain:
 		return Result{Err: g.drain(at, body.DrainDomain)}
+	case *wire.WorkCommand_SilentAgents:
+		g.noteSilence(body.SilentAgents.Agents)
+		return Result{}
 	case *wire.WorkCommand_Forget:
 		g.forget(body.Forget.EndedBefore.AsTime())
 		return Result{}
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -13,6 +13,7 @@
 	"sort"
 	"time"
 
+	"sycamoredeck.example/internal/base/boot"
 	"sycamoredeck.example/internal/schema/wire"
 )
 
@@ -22,6 +23,8 @@
 		Record *wire.Agent
 		// Tasks are those whose present run may exist on this agent.
 		Tasks map[*Task]bool
+		// Silence is nil for one that answers.
+		Silence *Silence
 	}
 
 	// Graph is the state. The zero value isn't usable; see New. It isn't safe
@@ -52,12 +55,15 @@
 		// Finished is called with each job that reaches its final state by a
 		// command; nil is allowed.
 		Finished func(*Job)
+		// Boot is a clock that also counts suspension. What it shows is no part of the
+		// replicated state.
+		Boot func() time.Duration
 	}
 )
 
 // New returns the empty state.
 func New() *Graph {
-	g := &Graph{}
+	g := &Graph{Boot: boot.Now}
 	g.reset()
 	return g
 }
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -26,6 +26,7 @@
 		image.Dropped[id] = timestamppb.New(at)
 	}
 	g.drains.save(image)
+	image.SilentAgents = g.saveSilence()
 	return image
 }
 
@@ -83,6 +84,7 @@
 	for _, r := range image.Agents {
 		g.agents[r.Id] = &Agent{Record: r, Tasks: map[*Task]bool{}}
 	}
+	g.noteSilence(image.SilentAgents)
 	for id, at := range image.Dropped {
 		g.dropped[id] = at.AsTime()
 	}
--- /dev/null
+++ b/internal/store/graph/silence_test.go
@@ -0,0 +1,51 @@
+// This file defines the tests of what is kept of agents that don't answer.
+
+package graph
+
+import (
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+func silentCommand(id string, lapsesIn *durationpb.Duration) *wire.WorkCommand {
+	return &wire.WorkCommand{Body: &wire.WorkCommand_SilentAgents{SilentAgents: &wire.SilentAgents{
+		Agents: []*wire.SilentAgent{{Id: id, LapsesIn: lapsesIn}},
+	}}}
+}
+
+// Guards against a lease that a replica takes for run out sooner than the leader that
+// granted it: each counts from when it heard of the record, whatever its clock shows.
+func TestSilenceCountsFromWhenItWasHeardOf(t *testing.T) {
+	now := 100 * time.Second
+	boot := func() time.Duration { return now }
+	g := prepared(t, &wire.Step{Count: 1})
+	g.Boot = boot
+	g.Apply(noon, silentCommand("a1", durationpb.New(5*time.Second)))
+	assert.Assert(t, !g.Agent("a1").Silence.Over(now+4999*time.Millisecond))
+	assert.Assert(t, g.Agent("a1").Silence.Over(now+5*time.Second))
+	assert.Assert(t, !g.Agent("a2").Silence.Over(now+time.Hour))
+	t.Run("loaded later", func(t *testing.T) {
+		image := g.Save()
+		now += 3 * time.Second
+		loaded := New()
+		loaded.Boot = boot
+		loaded.Load(image)
+		assert.Assert(t, !loaded.Agent("a1").Silence.Over(now+4999*time.Millisecond))
+		assert.Assert(t, loaded.Agent("a1").Silence.Over(now+5*time.Second))
+	})
+	t.Run("answers again", func(t *testing.T) {
+		g.Apply(noon, silentCommand("a1", nil))
+		assert.Assert(t, g.Agent("a1").Silence == nil)
+		assert.Equal(t, len(g.Save().SilentAgents), 0)
+	})
+	t.Run("dropped meanwhile", func(t *testing.T) {
+		g.Apply(noon, &wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: "a1"}}})
+		g.Apply(noon, silentCommand("a1", durationpb.New(time.Second)))
+		assert.Assert(t, g.Agent("a1") == nil)
+	})
+}
