Where connections are fewer than agents, holds wait only on work that is to end

Cause: with 3,000 agents and 4,096 descriptors a leader may have 2,217 connections to agents. Each hold waits on one for up to 1.5 s, so orders and other holds found none ('all connections to runners that there may be are in use', 4,899 starts and 3,843 holds in 30 s); agents counted as silent, starts were given up and committed anew, leases ran out. Excluded: processor time alone (with the connections mended the same load is served). Change: beyond half of the connections a hold waits only where work is to end, the other agents are looked at as often and leave their connection. Want of a connection has a verdict of its own: it is no sign of silence, and a start waits for one.

--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -62,8 +62,8 @@
 		Leads: c.drives, MayOrder: c.node.RightToLead, Send: c.carry, Wall: time.Now,
 		Lease:           min(c.settings.AgentLease.AsDuration(), c.settings.MaxAgentLease.AsDuration()),
 		StopGrace:       c.settings.StopGrace.AsDuration(),
-		OtherRackFactor: c.settings.OtherRackFactor,
-		Advise:          c.advise, Off: off, Logger: c.logger,
+		OtherRackFactor: c.settings.OtherRackFactor, Connections: files.Share(c.settings.MaxOpenFiles).Agents,
+		Advise: c.advise, Off: off, Logger: c.logger,
 	})
 	c.machine.Graph().Finished = c.jobFinished
 	c.background.Go(c.forgetLoop)
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -13,17 +13,10 @@
 )
 
 const (
-	// holdWait is how long a hold waits for an end: long, since each call has
-	// its price, yet short enough that a lease is renewed several times over.
-	holdWait = 1500 * time.Millisecond
-	// watchWait is the same where a latency target has to be watched: tails
-	// are figures of half a second.
-	watchWait = 300 * time.Millisecond
-	// maxLooks bounds the holds a second where tails are watched: each takes
-	// about 0.1 ms of the leader's processor.
-	maxLooks = 800
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 250 * time.Millisecond
+	// connectionRetry is the same where there was no connection for it.
+	connectionRetry = 50 * time.Millisecond
 	// lapsedRetry is the same once nothing runs there any more.
 	lapsedRetry = time.Second
 	// forgetSilent is how long a silent agent stays registered. One that tells no
@@ -56,6 +49,7 @@
 	holding   bool
 	holdSince time.Duration
 	holdFor   time.Duration // how long the answer may take
+	lookPause time.Duration // after the answer
 	nextHold  time.Duration
 	answered  time.Duration // when the last hold was answered
 	failed    int           // holds in a row without an answer
@@ -142,8 +136,12 @@
 	if at.holding || at.ending || e.now < at.nextHold {
 		return
 	}
-	at.holding, at.holdSince, at.holdFor = true, e.now, e.holdTime(at)
-	o := Order{Kind: Hold, LastSeen: at.lastSeen, Wait: at.holdFor}
+	next := e.lookAt(at)
+	at.holding, at.holdSince, at.holdFor, at.lookPause = true, e.now, next.wait, next.pause
+	if next.wait > 0 {
+		e.waitingHolds++
+	}
+	o := Order{Kind: Hold, LastSeen: at.lastSeen, Wait: next.wait}
 	// A silent agent gets no longer lease: each one sent may have been taken, so
 	// its end would move ahead with every try, and an agent that is gone for good
 	// would never be given up, nor its work run elsewhere.
@@ -153,19 +151,6 @@
 	e.send(at, o)
 }
 
-// holdTime is how long the next hold may wait for an end. The first one, and
-// those to a silent agent, are answered at once: they ask whether it is there.
-func (e *Engine) holdTime(at *agent) time.Duration {
-	switch {
-	case !at.synced || at.failed > 0:
-		return 0
-	case at.standing:
-		return min(max(watchWait, time.Duration(len(e.agents))*time.Second/maxLooks), holdWait)
-	default:
-		return holdWait
-	}
-}
-
 func (e *Engine) dropAgent(at *agent, why departure, reason string) {
 	if at.dropping {
 		return
@@ -187,6 +172,10 @@
 
 func (e *Engine) holdAnswered(at *agent, a Answer) {
 	at.holding = false
+	if a.Verdict == NoConnection {
+		at.nextHold = e.now + connectionRetry
+		return
+	}
 	if a.Verdict != Accepted {
 		holdsFailed.Inc()
 		if a.Verdict != Unsent || at.failed > 0 || e.now-at.answered > suspectAfter {
@@ -205,7 +194,7 @@
 		e.options.Logger.Info("agent heard again", "agent", at.record.Id, "silent", e.now-at.answered)
 		e.dirty = true
 	}
-	at.failed, at.closed, at.answered, at.nextHold = 0, false, e.now, e.now
+	at.failed, at.closed, at.answered, at.nextHold = 0, false, e.now, e.now+at.lookPause
 	first := !at.synced
 	if first {
 		at.synced = true
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -49,6 +49,9 @@
 		// OtherRackFactor is how many times as long a task takes away from the
 		// rack of its data; 1 when below.
 		OtherRackFactor float64
+		// Connections is how many connections to agents there may be; 0 is as many as are
+		// wanted.
+		Connections int
 		// Off are mechanisms that are switched off.
 		Off    map[Mechanism]bool
 		Logger *slog.Logger
@@ -97,6 +100,7 @@
 		nextSave      time.Duration // when what is learned is kept again
 		saved         *wire.Learned
 		nextLook      time.Duration
+		waitingHolds  int           // under way that wait for an end
 		nextSilence   time.Duration // when silent agents are looked for
 		notingSilence bool          // such a proposal is under way
 		// nextTend and nextPass are when agents and runs are looked after, and
@@ -165,7 +169,7 @@
 	e.readySince = map[*graph.Stage]time.Duration{}
 	e.clearing = map[*graph.Task]string{}
 	e.advice, e.advising = map[*graph.Stage]*advice{}, false
-	e.placing, e.notingSilence = false, false
+	e.placing, e.notingSilence, e.waitingHolds = false, false, 0
 	e.dirty = true
 }
 
@@ -249,6 +253,9 @@
 	if a.Order.Fence != e.term || e.term == 0 {
 		return // an order of an earlier term; its agent is asked anew
 	}
+	if a.Order.Kind == Hold && a.Order.Wait > 0 {
+		e.waitingHolds--
+	}
 	r := e.agents[a.Order.Agent.Id]
 	if r == nil {
 		return
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -115,6 +115,9 @@
 	RefusedOther
 	// OtherIncarnation: another incarnation lives at the address.
 	OtherIncarnation
+	// NoConnection: the order surely didn't leave, for want of a connection that this
+	// process may open. It says nothing about the agent.
+	NoConnection
 )
 
 var kindNames = [...]string{Hold: "hold", Start: "start", Stop: "stop", Pace: "pace"}
@@ -123,6 +126,7 @@
 	NoAnswer: "no answer", Unsent: "not sent", Accepted: "accepted", RefusedRoom: "refused: room",
 	RefusedOld: "refused: run is old", RefusedLate: "refused: late", RefusedFence: "refused: fence", RefusedTicket: "refused: ticket",
 	RefusedOther: "refused", OtherIncarnation: "other incarnation",
+	NoConnection: "no connection",
 }
 
 // String names the kind for logs.
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -260,10 +260,11 @@
 		r.phase = phaseRunning
 		r.startedAt, r.progressAt = e.now, e.now
 		r.confirm(e.now)
+		at.nextHold = e.now // its end is waited for
 		if since, ok := e.readySince[r.task.Stage]; ok && r.number == 1 {
 			readyToStart.Update((e.now - since).Seconds())
 		}
-	case NoAnswer, RefusedLate, RefusedFence:
+	case NoAnswer, RefusedLate, RefusedFence, NoConnection:
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetry
 	case RefusedOld:
 		r.phase, r.closedAt = phaseClosed, e.now
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -124,6 +124,9 @@
 		broken    []string
 		// drainedAt is since when each drained failure domain is.
 		drainedAt map[string]time.Duration
+		// connections bounds those to agents; 0 is as many as are wanted. inUse are those on
+		// which an answer is waited for.
+		connections, inUse int
 	}
 )
 
@@ -197,7 +200,7 @@
 	term := s.term
 	s.leads, s.ledSince = true, s.now
 	s.engine = drive.New(drive.Options{
-		Graph: s.graph, Lease: modelLease, StopGrace: modelGrace, Off: s.faults.off,
+		Graph: s.graph, Connections: s.connections, Lease: modelLease, StopGrace: modelGrace, Off: s.faults.off,
 		Propose: func(c *wire.Command, done func(state.Result, error)) {
 			s.log = append(s.log, proposal{c, done, term})
 			s.after(commitTime, s.commitNext)
@@ -265,10 +268,16 @@
 func (s *sim) carry(o drive.Order) {
 	engine := s.engine
 	timeout := answerTimeout + o.Wait
+	if s.connections > 0 && s.inUse >= s.connections {
+		s.after(time.Millisecond, func() { engine.Answered(s.now, drive.Answer{Order: o, Verdict: drive.NoConnection}) })
+		return
+	}
+	s.inUse++
 	answered := false
 	answer := func(a drive.Answer) {
 		if !answered {
 			answered = true
+			s.inUse--
 			engine.Answered(s.now, a)
 		}
 	}
