--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -9,8 +9,6 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"os"
-	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,10 +40,6 @@
 	// handoverWait bounds how long a stopping leader waits for a successor.
 	handoverWait = 3 * time.Second
 	handoverPoll = 20 * time.Millisecond
-	// gcPercent lets the heap grow to three times what is in use before it is
-	// collected. At 1,800 agents, 100 MB in use, a leader spent 4.7% of its processor time
-	// on that with the usual 100, and was slow each second while it lasted. GOGC goes first.
-	gcPercent = 200
 )
 
 type (
@@ -111,9 +105,7 @@
 		settings: settings, logger: logger, platform: platform, clock: clockwork.NewRealClock(),
 		failed: make(chan error, 1), closing: make(chan struct{}),
 	}
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
+	limitMemory(settings.MemoryLimitMb)
 	flush, err := spans.Start(ctx, "control", settings.Common)
 	if err != nil {
 		return err
