A full disk is waited for, not taken for a failed one

Excluded: treating it like a failed sync. Nothing that was acknowledged is lost by a refused write, and what was written of it can be cut off. The replica acknowledges nothing meanwhile and is missed by the others as one whose disk hangs is. A failed sync stays final, also where a full disk is its cause.

--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -138,6 +138,7 @@
 		return err
 	}
 	c.log = log
+	context.AfterFunc(ctx, log.GiveUp)
 	if durable.TornBytes > 0 {
 		c.logger.Warn("cut off an unfinished write", "bytes", durable.TornBytes)
 	}
--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -74,6 +75,35 @@
 	assert.NilError(t, r.log.Close())
 }
 
+// Guards against a replica that ends when its disk is full, or acknowledges what isn't on it.
+func TestFullDiskIsWaitedFor(t *testing.T) {
+	var full atomic.Bool
+	r := start(t, t.TempDir(), walog.Options{Write: func(f *os.File, data []byte) (int, error) {
+		if full.Load() {
+			return 0, syscall.ENOSPC
+		}
+		return f.Write(data)
+	}})
+	r.commit(t, 0, 10)
+	full.Store(true)
+	done := make(chan error, 1)
+	go func() {
+		_, err := r.node.Commit(context.Background(), dispatch(10))
+		done <- err
+	}()
+	// The loop goes on meanwhile: what it is asked is answered.
+	for range 20 {
+		assert.NilError(t, r.node.Do(context.Background(), func() {}))
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, len(done), 0, "a refused write was acknowledged")
+	full.Store(false)
+	assert.NilError(t, <-done)
+	assert.Assert(t, r.holds(t, 10))
+	assert.Equal(t, len(r.failed), 0)
+	r.stop(t)
+}
+
 func dispatch(i int) *wire.Command {
 	return &wire.Command{Body: &wire.Command_OpenDispatch{OpenDispatch: &wire.DispatchRecord{
 		ClientAccount: "account", RequestId: fmt.Sprintf("request-%08d", i), EntryId: "entry-1", Nonce: fmt.Sprintf("%036d", i),
--- a/internal/store/walog/walog.go
+++ b/internal/store/walog/walog.go
@@ -7,6 +7,7 @@
 // error from a sync is final: the kernel may have dropped the dirty pages and
 // report success the next time, so that a retry would promise what isn't on
 // disk. The caller must stop the process; the next start reads what is there.
+// A write that a full disk refuses is another thing, and waits for room.
 package walog
 
 import (
@@ -43,6 +44,8 @@
 	Options struct {
 		// Sync makes a file durable; (*os.File).Sync when nil.
 		Sync func(*os.File) error
+		// Write writes to a file; (*os.File).Write when nil.
+		Write func(*os.File, []byte) (int, error)
 		// SegmentSize is in bytes; 8 MiB when 0.
 		SegmentSize int64
 		// Logger is the default one when nil.
@@ -66,7 +69,7 @@
 	}
 
 	// Log is an open folder. It isn't safe for concurrent use, but for
-	// WriteSnapshot, which may run beside Append and SaveVote.
+	// WriteSnapshot and GiveUp, which may run beside Append and SaveVote.
 	Log struct {
 		folder   string
 		options  Options
@@ -75,6 +78,7 @@
 		file     *os.File // the last segment, or nil
 		synced   int64    // length of file known to be on disk
 		buffer   []byte
+		waits    waits
 	}
 )
 
@@ -84,6 +88,9 @@
 	if options.Sync == nil {
 		options.Sync = (*os.File).Sync
 	}
+	if options.Write == nil {
+		options.Write = (*os.File).Write
+	}
 	if options.SegmentSize == 0 {
 		options.SegmentSize = segmentSize
 	}
@@ -128,6 +135,7 @@
 	}
 	if found {
 		d.Snapshot = snapshot
+		l.waits.covered.Store(snapshot.Index)
 	}
 	if err := l.findSegments(); err != nil {
 		return nil, err
@@ -204,7 +212,7 @@
 	if err := file.Truncate(offset); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	return trace.Wrap(l.options.Sync(file))
+	return l.sync(file)
 }
 
 func (l *Log) openLast() error {
--- a/internal/store/walog/write.go
+++ b/internal/store/walog/write.go
@@ -26,7 +26,8 @@
 	if err := l.truncateFrom(records[0].Index); err != nil {
 		return err
 	}
-	if err := l.ensureSegment(records[0].Index); err != nil {
+	newSegment := func() error { return l.ensureSegment(records[0].Index) }
+	if err := l.untilRoom("a new segment", newSegment, l.dropCoveredNow); err != nil {
 		return err
 	}
 	s := l.segments[len(l.segments)-1]
@@ -41,11 +42,11 @@
 		l.buffer = appendFrame(l.buffer, payload, l.synced)
 		ends = append(ends, start+int64(len(l.buffer)))
 	}
-	if _, err := l.file.Write(l.buffer); err != nil {
-		return trace.ConvertSystemError(err)
+	if err := l.untilRoom("records", l.writeFrames, l.dropCoveredNow); err != nil {
+		return err
 	}
-	if err := l.options.Sync(l.file); err != nil {
-		return trace.ConvertSystemError(err)
+	if err := l.sync(l.file); err != nil {
+		return err
 	}
 	s.ends = append(s.ends, ends...)
 	l.synced = s.length()
@@ -58,13 +59,14 @@
 		if s.length() < l.options.SegmentSize && s.first+uint64(len(s.ends)) == next {
 			return nil
 		}
-		l.file.Close()
-		l.file = nil
 	}
 	path := filepath.Join(l.folder, fmt.Sprintf("%s%020d", segmentPrefix, next))
 	file, err := l.open(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return err
+	}
+	if l.file != nil {
+		l.file.Close()
 	}
 	l.file, l.synced = file, 0
 	l.segments = append(l.segments, &segment{path: path, first: next})
@@ -97,7 +99,7 @@
 		return trace.ConvertSystemError(err)
 	}
 	l.synced = s.length()
-	return trace.Wrap(l.options.Sync(l.file))
+	return l.sync(l.file)
 }
 
 func (l *Log) dropLast() error {
@@ -122,7 +124,11 @@
 // WriteSnapshot replaces the snapshot. The records that it covers stay until
 // DropCovered, so a crash between the two loses nothing.
 func (l *Log) WriteSnapshot(s *wire.Snapshot) error {
-	return l.writeWhole(snapshotName, s)
+	if err := l.writeWhole(snapshotName, s); err != nil {
+		return err
+	}
+	l.waits.covered.Store(s.Index)
+	return nil
 }
 
 // DropCovered removes the segments that lie wholly at or before index. With
@@ -156,16 +162,9 @@
 		return trace.Wrap(err)
 	}
 	path := filepath.Join(l.folder, name)
-	file, err := l.open(path+".new", os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
-	if err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	defer file.Close()
-	if _, err := file.Write(appendFrame(nil, payload, 0)); err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	if err := l.options.Sync(file); err != nil {
-		return trace.ConvertSystemError(err)
+	frame := appendFrame(nil, payload, 0)
+	if err := l.untilRoom(name, func() error { return l.writeNew(path+".new", frame) }, nil); err != nil {
+		return err
 	}
 	if err := os.Rename(path+".new", path); err != nil {
 		return trace.ConvertSystemError(err)
@@ -197,7 +196,7 @@
 		return trace.ConvertSystemError(err)
 	}
 	defer folder.Close()
-	return trace.Wrap(l.options.Sync(folder))
+	return l.sync(folder)
 }
 
 // open waits for a descriptor where none is left: see package files.
