A start that never left a silent agent's leader is given up at once

Cause: since want of a connection leaves a start to be sent again, one whose agent falls silent meanwhile waited for the whole lease. Change: where every start that was sent had its answer, the run is settled as not started, and the task goes elsewhere. All connections to one agent being in use is 'not sent' again: that says something of the agent.

--- a/internal/sched/drive/looks_test.go
+++ b/internal/sched/drive/looks_test.go
@@ -38,6 +38,27 @@
 	assert.Equal(t, len(s.broken), 0, "%v", s.broken)
 }
 
+// Guards against a task that waits for a whole lease of a silent agent which its start
+// surely never reached.
+func TestStartThatNeverLeftGoesElsewhere(t *testing.T) {
+	s := newSim(1, 2, true, faults{})
+	s.run(2*time.Second, 0)
+	s.submitSpec(&wire.Step{Count: 1, CpuMillis: 1000, MemoryMb: 10, EstimateMs: 300})
+	s.connections, s.inUse = 1, 1
+	s.run(100*time.Millisecond, 0)
+	task := s.graph.Job(s.jobs[0]).Occurrences[0][0].Tasks[0]
+	for _, r := range s.agents {
+		if r.record.Id == task.Agent {
+			r.cutUntil = s.now + time.Minute
+		}
+	}
+	s.run(2500*time.Millisecond, 0)
+	s.connections, s.inUse = 0, 0
+	s.run(2500*time.Millisecond, 0)
+	assert.Equal(t, s.graph.Job(s.jobs[0]).State, wire.WorkState_WORK_STATE_COMPLETED)
+	assert.Equal(t, len(s.broken), 0, "%v", s.broken)
+}
+
 // Guards against a start that is given up, committed anew and sent elsewhere for want of
 // a connection, which there is a moment later.
 func TestStartWaitsForAConnection(t *testing.T) {
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -151,8 +151,11 @@
 	}
 	switch r.phase {
 	case phaseUnresolved:
-		// While holds fail too, another start would fare no better.
-		if e.now >= r.nextStart && r.agent.mayBeGranted() {
+		switch {
+		case r.agent.failed > 0 && r.sends == r.answers:
+			e.settle(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "its agent fell silent before the start had left")
+		case e.now >= r.nextStart && r.agent.mayBeGranted():
+			// While holds fail too, another start would fare no better.
 			e.start(r)
 		}
 	case phaseRunning:
