Work is ordered by how long it is found to take, not by what is declared

Cause: slack and prospect came from declared times, which are off by a factor (0.5 to 0.9 in its logarithm), so under overload the order was half chance. Change: the real times of a queue's ended runs are fitted to the declared ones, both as logarithms; two ended runs of a job go before its queue. A mechanism of its own (LearnedTimes) that can be switched off.

--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -168,6 +168,7 @@
 	e.line, e.fresh = line{}, nil
 	e.readySince = map[*graph.Stage]time.Duration{}
 	e.clearing = map[*graph.Task]string{}
+	clear(e.learned.jobs)
 	e.advice, e.advising = map[*graph.Stage]*advice{}, false
 	e.placing, e.notingSilence, e.waitingHolds = false, false, 0
 	e.dirty = true
--- a/internal/sched/drive/learn.go
+++ b/internal/sched/drive/learn.go
@@ -38,12 +38,16 @@
 		// ratio is the run time against the declared one, by queue: declared
 		// times are off by queue more than by agent.
 		ratio map[string]float64
+		// queues and jobs tell how long tasks take against what is declared.
+		queues map[string]*timeFit
+		jobs   map[*graph.Job]*ownTimes
 	}
 )
 
 func (l *learning) of(id string) *record {
 	if l.agents == nil {
 		l.agents, l.ratio = map[string]*record{}, map[string]float64{}
+		l.queues, l.jobs = map[string]*timeFit{}, map[*graph.Job]*ownTimes{}
 	}
 	if l.agents[id] == nil {
 		l.agents[id] = &record{slow: 1}
@@ -80,6 +84,7 @@
 	case wire.RunOutcome_RUN_OUTCOME_DONE:
 		learned.note(false)
 		e.noteDuration(learned, r)
+		e.noteTime(r)
 	case wire.RunOutcome_RUN_OUTCOME_FAILED:
 		// Standing tasks fail by themselves at any time.
 		if !t.Stage.Standing() {
--- a/internal/sched/drive/line.go
+++ b/internal/sched/drive/line.go
@@ -117,6 +117,11 @@
 		return
 	}
 	e.nextForget = e.now + forgetInterval
+	for job := range e.learned.jobs {
+		if job.Ended() {
+			delete(e.learned.jobs, job)
+		}
+	}
 	for s := range e.readySince {
 		if s.Job.Ended() {
 			delete(e.readySince, s)
--- a/internal/sched/drive/mechs.go
+++ b/internal/sched/drive/mechs.go
@@ -24,6 +24,8 @@
 	KeepClear Mechanism = "KeepClear"
 	// LearnedKept hands what a leader learned to the next one.
 	LearnedKept Mechanism = "LearnedKept"
+	// LearnedTimes orders work by how long it is found to take, not by what is declared.
+	LearnedTimes Mechanism = "LearnedTimes"
 	// Moves stops disturbing runs that save their progress, to resume elsewhere.
 	Moves Mechanism = "Moves"
 	// Reserve keeps room for ordinary work against standing tasks that are new.
@@ -37,7 +39,7 @@
 
 // Mechanisms are all that can be switched off.
 var Mechanisms = []Mechanism{
-	AlikeTogether, Halts, KeepClear, LearnedKept, Moves, Reserve, RoomByUse, SwingForeseen,
+	AlikeTogether, Halts, KeepClear, LearnedKept, LearnedTimes, Moves, Reserve, RoomByUse, SwingForeseen,
 }
 
 // ParseMechanisms reads names of mechanisms.
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -173,6 +173,9 @@
 	}
 	r.sim.began(r, o)
 	length := time.Duration(step.EstimateMs) * time.Millisecond
+	if real, other := r.sim.realTimes[o.Run.Job]; other {
+		length = real
+	}
 	r.runs[key] = &modelRun{
 		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, pace: 100, began: r.sim.now,
 		fails: r.failing || r.sim.random.Float64() < r.sim.faults.fail,
--- a/internal/sched/drive/rank.go
+++ b/internal/sched/drive/rank.go
@@ -176,14 +176,16 @@
 	if !s.Due.IsZero() {
 		begin = s.Due
 	}
-	objective := e.objective(s, q)
+	factor := e.timeFactor(s)
+	objective := e.objective(s, q, factor)
 	age := wall.Sub(begin)
 	r := ranked{stage: s, priority: q.GetPriority(), begun: s.Job.Begun()}
 	r.first = s.Standing() && s.Ran() || s.OnLastTry()
-	r.slack = objective - s.Longest - age
+	left := time.Duration(float64(s.Longest) * factor)
+	r.slack = objective - left - age
 	if r.slack < 0 {
 		r.prospect = late
-		r.slack = lateFactor*objective - age - s.Longest
+		r.slack = lateFactor*objective - age - left
 	}
 	if r.slack < 0 {
 		r.prospect = tooLate
@@ -193,11 +195,12 @@
 	return r
 }
 
-// objective is the time in which a job should be done.
-func (e *Engine) objective(s *graph.Stage, q *wire.Queue) time.Duration {
+// objective is the time in which a job should be done whose tasks take so many times as
+// long as declared.
+func (e *Engine) objective(s *graph.Stage, q *wire.Queue, factor float64) time.Duration {
 	var chain time.Duration
 	for _, first := range s.Job.Occurrences[s.Occurrence] {
 		chain = max(chain, first.Longest)
 	}
-	return time.Duration(float64(chain)*max(q.GetStretch(), 1)) + q.GetTarget().AsDuration()
+	return time.Duration(float64(chain)*factor*max(q.GetStretch(), 1)) + q.GetTarget().AsDuration()
 }
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -127,6 +127,8 @@
 		// connections bounds those to agents; 0 is as many as are wanted. inUse are those on
 		// which an answer is waited for.
 		connections, inUse int
+		// realTimes are how long the tasks of a job take where that isn't what is declared.
+		realTimes map[string]time.Duration
 	}
 )
 
--- /dev/null
+++ b/internal/sched/drive/times_test.go
@@ -0,0 +1,73 @@
+// This file defines the tests of what is learned of run times.
+
+package drive
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// fitOf is a fit to so many runs that take about a second each, spread by a factor's
+// logarithm, and whose declared times are off by another one's.
+func fitOf(runs int, spread, off float64) *timeFit {
+	random := rand.New(rand.NewPCG(1, 2))
+	f := &timeFit{}
+	for range runs {
+		taken := time.Duration(float64(time.Second) * math.Exp(random.NormFloat64()*spread))
+		declared := time.Duration(float64(taken) * math.Exp(random.NormFloat64()*off))
+		f.note(declared, taken)
+	}
+	return f
+}
+
+func assertNear(t *testing.T, got, want float64) {
+	t.Helper()
+	assert.Assert(t, math.Abs(math.Log(got/want)) < 0.15, "%.2f, not about %.2f", got, want)
+}
+
+func TestTimeFit(t *testing.T) {
+	cases := []struct {
+		name        string
+		runs        int
+		spread, off float64
+		declared    time.Duration
+		want        float64
+	}{
+		{"too few runs", fitSamples - 1, 0.5, 0.9, 4 * time.Second, 1},
+		{"declared times that are right", 2000, 0.5, 0, 4 * time.Second, 1},
+		{"declared times that say nothing", 2000, 0.01, 0.9, 4 * time.Second, 0.25},
+		{"declared times that say half of it", 2000, 0.5, 0.5, 4 * time.Second, 0.5},
+		{"more runs than count", 3 * recentSamples, 0.5, 0.5, time.Second / 4, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assertNear(t, fitOf(c.runs, c.spread, c.off).factor(c.declared), c.want)
+		})
+	}
+	t.Run("all declared alike", func(t *testing.T) {
+		f := &timeFit{}
+		for range fitSamples {
+			f.note(time.Second, 3*time.Second)
+		}
+		assertNear(t, f.factor(time.Second), 3)
+	})
+	t.Run("no fit", func(t *testing.T) {
+		var none *timeFit
+		assert.Equal(t, none.factor(time.Second), 1.0)
+	})
+}
+
+func TestOwnTimesNeedTwoRuns(t *testing.T) {
+	o := &ownTimes{}
+	o.note(time.Second, 2*time.Second)
+	_, known := o.factor()
+	assert.Assert(t, !known)
+	o.note(time.Second, 8*time.Second)
+	factor, known := o.factor()
+	assert.Assert(t, known)
+	assertNear(t, factor, 4)
+}
