--- a/internal/run/ctrl/entries.go
+++ b/internal/run/ctrl/entries.go
@@ -57,9 +57,7 @@
 
 // listUnless returns the entries and their digest, or the digest alone where it is the
 // known one. With all entries in each answer, what entries and replicas tell each
-// other grows with the square of the entries: 147 of them, each asking 1.4 times a second, take
-// 30,000 descriptions of an entry a second from each replica. Left out, a day of theirs
-// took 0.35 GB between failure domains instead of 0.74 (one day each).
+// other grows with the square of the entries.
 func (t *entryTable) listUnless(known uint64, now time.Time) ([]*wire.EntryStatus, uint64) {
 	digest := t.digest(now)
 	if digest == known {
--- a/internal/sched/drive/ends.go
+++ b/internal/sched/drive/ends.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// commitEnds has ends committed with all others of this turn. Each of them by itself
-// was 3,000 records a second at 1,800 agents, each one encoded for five disks.
+// commitEnds has ends committed with all others of this turn: a record for each of them
+// would be encoded and synced by itself at every replica.
 func (e *Engine) commitEnds(ends []*wire.RunEnd, done func(ok bool)) {
 	for _, end := range ends {
 		countEnd(end.Outcome)
--- a/internal/sched/drive/line.go
+++ b/internal/sched/drive/line.go
@@ -13,8 +13,7 @@
 const (
 	// lineAge is for how long the order of stages holds, for each stage in it, and
 	// longestAge at most. Between that, those that came since are put where they
-	// belong. Making it anew for each pass was two thirds of a turn with 4,000 stages
-	// that wait at 1,800 agents; slack that decides is seconds.
+	// belong: sorting all anew in each pass takes longer than placing them.
 	lineAge    = 25 * time.Microsecond
 	longestAge = 100 * time.Millisecond
 	// forgetInterval is how often what is known of stages is forgotten whose jobs have
--- a/internal/sched/drive/looks.go
+++ b/internal/sched/drive/looks.go
@@ -12,8 +12,8 @@
 	// watchWait is the same where a latency target has to be watched: tails
 	// are figures of half a second.
 	watchWait = 300 * time.Millisecond
-	// maxLooks bounds the holds a second where tails are watched: each takes
-	// about 0.1 ms of the leader's processor.
+	// maxLooks bounds the holds a second where tails are watched: each takes some of the
+	// leader's processor.
 	maxLooks = 800
 	// waitingShare is the part of the connections to agents that holds may wait on. The
 	// rest is for orders, and for the agents that are only looked at.
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -17,9 +17,8 @@
 	// maxLostListed bounds the runs that one log line names; each takes about 40 bytes.
 	maxLostListed = 40
 	// startTime is for how long an agent has told that a run is there while it counts as
-	// just started. Tasks that end their agents do so 10 ms after their start, as seen;
-	// where nothing ends, runs are listed each 1.5 s, so that a run which was listed
-	// twice has started.
+	// just started. Where nothing ends, runs are listed each 1.5 s, so that a run which
+	// was listed twice has started.
 	startTime = time.Second
 	// soundAfter is how long an agent has to have told that a run is there before its
 	// end isn't put down to the run at all: far more than startTime, far less than the
--- a/internal/sched/drive/pace.go
+++ b/internal/sched/drive/pace.go
@@ -28,18 +28,16 @@
 	// paceGrain keeps paces to few values.
 	paceGrain = 10
 	// usualUse is the part of its declared processors that a task which isn't
-	// standing uses; taken where nothing was told yet. 0.84 was measured as the mean
-	// of opportunistic runs (18,000 readings of one day).
+	// standing uses; taken where nothing was told yet.
 	usualUse = 0.8
 	// usualBusy is what a standing task's utilization is taken for before its
-	// first reading; 0.45 to 0.49 was measured as its mean.
+	// first reading.
 	usualBusy = 0.5
 	// usageWindow is the time over which usage and tails are told.
 	usageWindow = 500 * time.Millisecond
 	// leastAdds is what one run adds to a utilization at least if it is to be
 	// slowed for it or kept away. A standing task's own load takes its tail past
 	// any limit now and then; what adds nothing would be stopped for that in vain.
-	// A bound of 0.03 gave the same mean worth (+0.002, standard error 0.006, 14 days).
 	leastAdds = 0.01
 	// paceAhead is how far ahead a tail is looked at when paces are set: until a
 	// change of pace shows in what is told.
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -17,9 +17,7 @@
 	// log for long; 300 placements are about 15 KB.
 	maxPlacements = 300
 	// alikeGain is what an agent full of standing tasks of the same image is
-	// worth to another of them, in run times; more than an empty agent is. It
-	// raised the worth of opportunistic work from 0.38 to 0.69 of what was owed
-	// in a day of 14 jobs a second on 66 agents, n=1 without processor time.
+	// worth to another of them, in run times; more than an empty agent is.
 	alikeGain = 3.0
 	// disturbCost is what it costs, in run times, to take the standing tasks on an
 	// agent from idle to fully utilized.
--- a/internal/sched/drive/reserve.go
+++ b/internal/sched/drive/reserve.go
@@ -22,8 +22,7 @@
 	needDecay    = 0.95
 	needInterval = time.Second
 	// firstReserve is the part of a pool's processors that is kept for ordinary work
-	// until some of it was seen for firstSeen: twice its mean, which is 0.05 and 0.06
-	// of the processors by what two deployments declare.
+	// until some of it was seen for firstSeen.
 	firstReserve = 0.12
 	firstSeen    = 8 * time.Second
 	// needLook is how often the need is worked out.
--- a/internal/sched/drive/room.go
+++ b/internal/sched/drive/room.go
@@ -11,8 +11,7 @@
 )
 
 // roomAge is for how long a room is kept while nothing changes there. What standing
-// tasks use by themselves was seen to move by 0.11 of a processor's time a second at
-// most, so by 0.03 in that time.
+// tasks use by themselves moves little in that time.
 const roomAge = 250 * time.Millisecond
 
 type (
--- a/internal/sched/tails/own.go
+++ b/internal/sched/tails/own.go
@@ -8,10 +8,9 @@
 )
 
 const (
-	// toldOver is the time over which told tails are smoothed: a reading keeps half
-	// of the one before after 0.28 s, as measured where a disturbance ended at once.
+	// toldOver is the time over which told tails are smoothed.
 	toldOver = 400 * time.Millisecond
-	// toldNoise is by what part a told tail is off: 0.025 to 0.03 was measured.
+	// toldNoise is by what part a told tail is off.
 	toldNoise = 0.03
 	// leastSpread bounds from below how far a utilization may be off, since tails
 	// are told in whole milliseconds.
@@ -23,8 +22,7 @@
 	// one reading to the next beside its swing.
 	ownDrift = 0.0006
 	// trendStep is how much of what a level was off by goes into the trend, a
-	// second. Two seconds ahead loads were off by 0.034 with it, by 0.039 with 0.5 and
-	// by 0.045 with 1 (2,000 modelled readings each).
+	// second.
 	trendStep = 0.25
 	// maxTrend bounds the trend, a second. The swing of a standing task's own load
 	// moves its utilization by up to 0.11 a second.
--- a/internal/sched/tails/swing.go
+++ b/internal/sched/tails/swing.go
@@ -9,12 +9,12 @@
 
 const (
 	// swingLag lies between two looks at a run's own load that are compared to
-	// learn how fast loads swing: a sixth of the swings that were measured, so that
-	// they differ clearly and no swing is missed.
+	// learn how fast loads swing: far enough apart to differ clearly, and close enough
+	// to miss no swing.
 	swingLag = 3 * time.Second
 	// firstMean and firstSpread are the mean and the variance of own loads that
 	// are taken for known before any were seen; firstSpeed is how fast they swing,
-	// in radians a second: once in 18 s. Once in 14 and in 20 s was measured.
+	// in radians a second: once in 18 s.
 	firstMean    = 0.48
 	firstSpread  = 0.03
 	firstSpeed   = 0.35
--- a/internal/sched/tails/tails.go
+++ b/internal/sched/tails/tails.go
@@ -23,21 +23,20 @@
 
 const (
 	// firstWeight stands for pairs of images not seen together yet: above the
-	// harmless (0 to 0.4), below the harmful (mostly 0.9 to 3) ones that were measured, so
-	// that a first try is made, but a small one.
+	// harmless and below the harmful ones, so that a first try is made, but a small one.
 	firstWeight = 0.5
-	// maxWeight bounds a weight: 3.1 was the highest measured.
+	// maxWeight bounds a weight, so that one bad reading can't keep a pair apart for good.
 	maxWeight = 4.0
-	// firstVariance is that of the measured weights around the first one.
+	// firstVariance is that of weights around the first one.
 	firstVariance = 0.25
 	// weightDrift is how fast the variance of a weight grows while it isn't seen,
 	// a second: a tenth of the first one in ten seconds.
 	weightDrift = 0.0025
 	// leastBusy is the utilization of a standing task in its quietest moments, at
-	// which its lowest tails are told: 0.19 to 0.24 was measured.
+	// which its lowest tails are told.
 	leastBusy = 0.22
 	// firstFloor is the part of its target that the lowest tail of an image is
-	// taken for before lower ones are told: 0.21 to 0.26 was measured.
+	// taken for before lower ones are told.
 	firstFloor = 0.26
 	// maxBusy is the utilization at which tails stop growing: they were told as up
 	// to 40 times the base.
@@ -46,7 +45,7 @@
 	// out of an average.
 	negligible = 0.001
 	// maxPairs bounds what is remembered, since images are named by callers; beyond
-	// it all is learned anew. Today's deployments have 180 pairs.
+	// it all is learned anew.
 	maxPairs = 20000
 )
 
