Crashes of agents count across leaders and expired leases

What callers saw: a task that crashes agents was started after it had crashed five of them, which is the limit; every crash ends all other runs on the agent. Provoked on by the engine's simulation with tasks that crash agents beside restarts, partitions and leader changes (never played together before).

Change: the leader that sees the connections close commits a crash report with the runs to blame. It applies when the runs have certainly ended, under whichever leader; an answer of the agent withdraws it. A poll after a closed connection is repeated after 20 ms, so that an agent that only lost its connections isn't reported.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -16,6 +16,9 @@
 	pollRetryInterval = 250 * time.Millisecond
 	// noConnectionRetryInterval is the pause after a poll that got no connection.
 	noConnectionRetryInterval = 50 * time.Millisecond
+	// closedRetryInterval is the pause after a poll whose connection was closed. An agent
+	// that only lost its connections answers the next poll.
+	closedRetryInterval = 20 * time.Millisecond
 	// expiredRetryInterval is the poll interval of an unreachable agent whose lease has
 	// expired and that has no runs.
 	expiredRetryInterval = time.Second
@@ -53,8 +56,12 @@
 	failedPolls int           // consecutive polls without an answer
 	// expiryCommitted is set once the expiry of its leases is proposed or committed.
 	expiryCommitted  bool
-	connectionClosed bool   // its process has ended; see recordClosedConnection
-	lastAcked        uint64 // completions up to this number are committed
+	connectionClosed bool // its process has ended; see recordClosedConnection
+	// closedAt is when connectionClosed was set.
+	closedAt time.Duration
+	// crashReported is set once a crash report is proposed or committed.
+	crashReported bool
+	lastAcked     uint64 // completions up to this number are committed
 	// incarnation identifies the process: the registered incarnation or, if none is
 	// registered, that of the first answer; 0 if unknown.
 	incarnation  uint64
@@ -87,7 +94,7 @@
 }
 
 func (e *Engine) newAgent(registered *graph.Agent) *agent {
-	a := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answeredAt: e.now, freeStale: true, incarnation: registered.Record.Incarnation, expiryCommitted: registered.LeaseExpiry != nil}
+	a := &agent{record: registered.Record, runs: map[*graph.Task]*run{}, answeredAt: e.now, freeStale: true, incarnation: registered.Record.Incarnation, expiryCommitted: registered.LeaseExpiry != nil, crashReported: registered.CrashReport != nil}
 	e.agents[registered.Record.Id] = a
 	e.agentsByPool, e.sortedAgents = nil, nil
 	return a
@@ -183,6 +190,9 @@
 			e.options.Logger.Info("agent unreachable", "agent", a.record.Id, "verdict", ans.Verdict.String(), "detail", ans.Detail)
 		}
 		a.nextPoll = e.now + pollRetryInterval
+		if ans.ConnectionClosed && a.failedPolls == 1 {
+			a.nextPoll = e.now + closedRetryInterval
+		}
 		if len(a.sortedRuns) == 0 && e.leaseExpired(a) {
 			a.nextPoll = e.now + expiredRetryInterval
 		}
@@ -210,10 +220,10 @@
 // process has ended: the connection of a pending poll was closed, or a new one was
 // refused. After failed polls a closed connection proves nothing; it may predate a
 // network partition.
-func (a *agent) recordClosedConnection(ans Answer) {
+func (a *agent) recordClosedConnection(ans Answer, now time.Duration) {
 	waited := ans.Order.Kind == Poll && a.failedPolls == 0
-	if ans.ConnectionClosed && (waited || ans.Verdict == NotSent) {
-		a.connectionClosed = true
+	if ans.ConnectionClosed && (waited || ans.Verdict == NotSent) && !a.connectionClosed {
+		a.connectionClosed, a.closedAt = true, now
 	}
 }
 
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -102,6 +102,8 @@
 		longPolls           int           // polls in flight that wait for a completion
 		nextUnreachableScan time.Duration // when to scan for unreachable agents
 		unreachablePending  bool          // a proposal of commitUnreachable is in flight
+		nextCrashScan       time.Duration // when to scan for agents that crashed
+		crashesPending      bool          // a proposal of commitCrashReports is in flight
 		// nextReconcile and nextPass are the earliest times of the next reconciliation
 		// and of the next scheduling pass.
 		nextReconcile, nextPass time.Duration
@@ -167,7 +169,7 @@
 	e.reservations = map[*graph.Task]string{}
 	clear(e.estimates.jobs)
 	e.advice, e.advicePending = map[*graph.Stage]*stageAdvice{}, false
-	e.placementPending, e.unreachablePending, e.longPolls = false, false, 0
+	e.placementPending, e.unreachablePending, e.crashesPending, e.longPolls = false, false, false, 0
 	e.placementDirty = true
 }
 
@@ -196,6 +198,7 @@
 		e.nextReconcile = now + reconcileInterval
 		e.reconcileAgents()
 		e.commitUnreachable()
+		e.commitCrashReports()
 		e.saveEstimates()
 	}
 	e.place()
@@ -269,7 +272,7 @@
 		e.dropAgent(a, superseded, "another incarnation lives at its address")
 		return
 	}
-	a.recordClosedConnection(ans)
+	a.recordClosedConnection(ans, now)
 	switch ans.Order.Kind {
 	case Poll:
 		e.handlePollAnswer(a, ans)
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -53,7 +53,10 @@
 			continue
 		}
 		outcome := wire.RunOutcome_RUN_OUTCOME_LOST
-		if crashed && (evident || r.task.Crashes > 0) {
+		if crashed {
+			outcome = e.reportedOutcome(r)
+		}
+		if crashed && outcome == wire.RunOutcome_RUN_OUTCOME_LOST && (evident || r.task.Crashes > 0) {
 			outcome = r.crashOutcome()
 		}
 		if outcome == wire.RunOutcome_RUN_OUTCOME_LOST && r.checkpoint == "" {
@@ -77,7 +80,11 @@
 			continue
 		}
 		lost = append(lost, r)
-		ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: a.record.Id, Outcome: wire.RunOutcome_RUN_OUTCOME_LOST, Checkpoint: r.checkpoint})
+		outcome := wire.RunOutcome_RUN_OUTCOME_LOST
+		if !a.record.Leaving {
+			outcome = e.reportedOutcome(r)
+		}
+		ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: a.record.Id, Outcome: outcome, Checkpoint: r.checkpoint})
 	}
 	if len(lost) == 0 {
 		return
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -58,6 +58,9 @@
 	case *wire.WorkCommand_SilentAgents:
 		g.setLeaseExpiries(body.SilentAgents.Agents)
 		return Result{}
+	case *wire.WorkCommand_CrashReports:
+		g.setCrashReports(body.CrashReports.Agents)
+		return Result{}
 	case *wire.WorkCommand_Forget:
 		g.removeExpired(body.Forget.EndedBefore.AsTime())
 		return Result{}
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -24,6 +24,8 @@
 		Tasks map[*Task]bool
 		// LeaseExpiry is nil unless the agent is unreachable.
 		LeaseExpiry *LeaseExpiry
+		// CrashReport is nil unless the agent has probably crashed.
+		CrashReport *wire.CrashReport
 	}
 
 	// Graph is the replicated state of jobs and agents. New returns an empty one; the zero
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -27,6 +27,7 @@
 	}
 	g.drains.save(image)
 	image.SilentAgents = g.saveLeaseExpiries()
+	image.CrashReports = g.saveCrashReports()
 	return image
 }
 
@@ -85,6 +86,7 @@
 		g.agents[r.Id] = &Agent{Record: r, Tasks: map[*Task]bool{}}
 	}
 	g.setLeaseExpiries(image.SilentAgents)
+	g.setCrashReports(image.CrashReports)
 	for id, at := range image.Dropped {
 		g.removedAgents[id] = at.AsTime()
 	}
