Entries count voters only where they decide whether there is a quorum

Cause: the uplink took a majority of all members for a majority of the voters.

Change: HasQuorum and quorumResponsive count voters. No other place counts a majority by itself but quorum, which does so by its voters.

TestOnlyVotersCountForQuorum fails on the code before in two of three cases (learners and a voter lost; two voters lost) and passes now.

--- a/internal/front/uplink/leader_test.go
+++ b/internal/front/uplink/leader_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
 	"time"
 
@@ -19,8 +20,9 @@
 	"sycamoredeck.example/internal/schema/wire"
 )
 
-// fixture is an uplink that knows five voters, some of them unresponsive.
+// fixture is an uplink that knows five members, some of them unresponsive.
 type fixture struct {
+	learners      int // the last members are learners
 	uplink        *Uplink
 	clock         *clockwork.FakeClock
 	calledLeaders []string
@@ -28,7 +30,7 @@
 	responses []func(context.Context) error
 }
 
-var voters = []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"}
+var members = []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:5"}
 
 func newFixture(t *testing.T, responsive int) *fixture {
 	f := &fixture{clock: clockwork.NewFakeClock()}
@@ -38,21 +40,26 @@
 		Clock: f.clock, Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), Pool: pool,
 		Self: &wire.EntryStatus{EntryId: "e"}, OnEntriesChanged: func([]string) {},
 	})
-	for i, a := range voters {
+	for _, a := range members {
 		f.receiveHello(a, "", 1)
-		if i >= responsive {
-			f.uplink.recordFailure(a)
-			f.uplink.recordFailure(a)
-		}
 	}
+	f.lose(members[responsive:])
 	return f
 }
 
+// lose makes members unresponsive.
+func (f *fixture) lose(addresses []string) {
+	for _, a := range addresses {
+		f.uplink.recordFailure(a)
+		f.uplink.recordFailure(a)
+	}
+}
+
 // receiveHello simulates a hello response that names the leader.
 func (f *fixture) receiveHello(from, leader string, term uint64) {
 	r := &wire.HelloResponse{LeaderAddress: leader, Term: term}
-	for _, a := range voters {
-		r.Members = append(r.Members, &wire.ControlMember{Address: a, Voter: true})
+	for i, a := range members {
+		r.Members = append(r.Members, &wire.ControlMember{Address: a, Voter: i < len(members)-f.learners})
 	}
 	f.uplink.recordHello(from, r)
 }
@@ -84,6 +91,35 @@
 	assert.Equal(t, len(f.calledLeaders), 0)
 }
 
+// Guards against counting learners, which elect no leader: a call would wait in vain while too few
+// voters respond, or fail though enough of them do.
+func TestOnlyVotersCountForQuorum(t *testing.T) {
+	cases := []struct {
+		name string
+		lost []string
+		want bool
+	}{
+		{"learners lost", members[3:], true},
+		{"learners and a voter lost", members[2:], true},
+		{"two voters lost", members[:2], false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, len(members))
+			f.learners = 2
+			f.clock.Advance(statusTTL + time.Second)
+			for _, a := range members {
+				if !slices.Contains(c.lost, a) {
+					f.receiveHello(a, "", 2)
+				}
+			}
+			f.lose(c.lost)
+			assert.Equal(t, f.uplink.HasQuorum(), c.want)
+			assert.Equal(t, f.uplink.quorumResponsive(), c.want)
+		})
+	}
+}
+
 // A call waits for an election while enough replicas respond.
 func TestCallWaitsForElection(t *testing.T) {
 	f := newFixture(t, 3)
@@ -91,7 +127,7 @@
 	result := make(chan error, 1)
 	go func() { result <- f.call(t.Context()) }()
 	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 1))
-	f.receiveHello(voters[0], voters[0], 2)
+	f.receiveHello(members[0], members[0], 2)
 	f.clock.Advance(retryInterval)
 	assert.NilError(t, <-result)
 }
@@ -110,7 +146,7 @@
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
 		if f.clock.BlockUntilContext(ctx, 1) == nil {
-			for _, a := range voters[:3] {
+			for _, a := range members[:3] {
 				f.receiveHello(a, "", 1)
 			}
 			f.clock.Advance(retryInterval)
@@ -122,7 +158,7 @@
 // Guards against waiting for the response of a failed leader after the next one is known.
 func TestCallToLostLeaderIsRetried(t *testing.T) {
 	f := newFixture(t, 5)
-	f.receiveHello(voters[0], voters[0], 2)
+	f.receiveHello(members[0], members[0], 2)
 	f.responses = append(f.responses, hang, succeed)
 	result := make(chan error, 1)
 	entered := make(chan struct{})
@@ -133,23 +169,20 @@
 	}
 	go func() { result <- f.call(t.Context()) }()
 	<-entered
-	f.receiveHello(voters[1], voters[1], 3)
+	f.receiveHello(members[1], members[1], 3)
 	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 1))
 	f.clock.Advance(retryInterval)
 	assert.NilError(t, <-result)
-	assert.DeepEqual(t, f.calledLeaders, []string{voters[0], voters[1]})
+	assert.DeepEqual(t, f.calledLeaders, []string{members[0], members[1]})
 }
 
 // Guards against failing a call that may have been executed, because no quorum responds
 // for a moment. The leader can determine its outcome once connections are replaced.
 func TestUncertainCallOutlastsLostConnections(t *testing.T) {
 	f := newFixture(t, 5)
-	f.receiveHello(voters[0], voters[0], 2)
+	f.receiveHello(members[0], members[0], 2)
 	loseConnections := func(context.Context) error {
-		for _, a := range voters {
-			f.uplink.recordFailure(a)
-			f.uplink.recordFailure(a)
-		}
+		f.lose(members)
 		return status.Error(codes.DeadlineExceeded, "no response")
 	}
 	f.responses = append(f.responses, loseConnections, succeed)
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -368,6 +368,15 @@
 func (u *Uplink) memberAddresses() []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	var addresses []string
+	for _, m := range u.members() {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
+// members returns the members of the cluster as of the newest response. The caller holds mu.
+func (u *Uplink) members() []*wire.ControlMember {
 	// A replica that hasn't joined the cluster responds without members.
 	var newest *wire.HelloResponse
 	for a, rs := range u.replicas {
@@ -379,40 +388,39 @@
 			newest = r
 		}
 	}
-	var addresses []string
-	for _, m := range newest.GetMembers() {
-		addresses = append(addresses, m.Address)
-	}
-	return addresses
+	return newest.GetMembers()
 }
 
-// HasQuorum reports whether a majority of the members responded within statusTTL.
+// HasQuorum reports whether a majority of the voters responded within statusTTL.
 func (u *Uplink) HasQuorum() bool {
-	responded, members := u.countMembers(func(replicaStatus) bool { return true })
-	return members > 0 && responded > members/2
+	responded, voters := u.countVoters(func(replicaStatus) bool { return true })
+	return voters > 0 && responded > voters/2
 }
 
-// quorumResponsive reports whether a majority of the members is expected to respond: those
+// quorumResponsive reports whether a majority of the voters is expected to respond: those
 // with a valid status and fewer than maxFailedHellos failures. It returns true if no
-// member is known.
+// voter is known.
 func (u *Uplink) quorumResponsive() bool {
-	responsive, members := u.countMembers(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos })
-	return members == 0 || responsive > members/2
+	responsive, voters := u.countVoters(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos })
+	return voters == 0 || responsive > voters/2
 }
 
-// countMembers returns the number of members with a valid status that satisfies a
-// condition, and the number of all members.
-func (u *Uplink) countMembers(condition func(replicaStatus) bool) (counted, members int) {
+// countVoters returns the number of voters with a valid status that satisfies a condition,
+// and the number of all voters. Learners don't take part in elections.
+func (u *Uplink) countVoters(condition func(replicaStatus) bool) (counted, voters int) {
 	now := u.options.Clock.Now()
-	addresses := u.memberAddresses()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, a := range addresses {
-		if rs, ok := u.replicas[a]; ok && now.Sub(rs.receivedAt) <= statusTTL && condition(rs) {
+	for _, m := range u.members() {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if rs, ok := u.replicas[m.Address]; ok && now.Sub(rs.receivedAt) <= statusTTL && condition(rs) {
 			counted++
 		}
 	}
-	return counted, len(addresses)
+	return counted, voters
 }
 
 // CountQuorumLoss increments the metric of seconds without a quorum. It is called every
