Test harness: no process is forked while a port is reserved

Symptom: TestLeavingServerGetsNoNewWork/no_control_leader failed once beside other runs; control-2 logged "bind: address already in use".

Cause: the harness finds a free port by listening on it and closing the listener. A process that is forked in between holds the listener until it executes its program, and the port is in use for as long.

The failed test itself wasn't reproduced. The product isn't involved.

--- a/internal/itest/cluster_test.go
+++ b/internal/itest/cluster_test.go
@@ -122,6 +122,10 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
+	// A process that is forked meanwhile would keep the listener open until it executes its
+	// program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for range 5000 {
 		address := fmt.Sprintf("%s:%d", processIP, 20000+nextPort.Add(1)%12000)
 		if listener, err := net.Listen("tcp", address); err == nil {
