Crashes that are only presumed don't fail jobs by themselves

What callers saw: a job failed after five crashes though its task had been on one agent that crashed, or on none. Found while tracing: a standing task of any age was blamed for each agent that restarted while there was no leader, and failed after five such changes of leader.

A leader that never heard an agent blamed all runs recorded there; for a task blamed before, a start sent to an agent that was already down counted, and so did a run that had ended behind a partition.

Change: a crash is detected (connections closed or refused, seen by this leader or reported by an earlier one) or presumed. Five crashes, or three at the start, fail a job if two were detected; five with three at the start if one was; eight in any case. A run placed ten seconds or more before a leader's election isn't blamed by that leader for an agent it never heard. A start answered by another process, or not sent, isn't blamed.

Why it works: in all traces no agent had closed a connection, while a task that crashes its agents makes them close theirs; those that end agents without a sign are still bounded.

TestRestartsAndPartitionsFailNoJob (three of its four cases) and TestLongRunningTasksAreNotBlamedAfterElection fail on the code before.

--- a/internal/sched/drive/completions.go
+++ b/internal/sched/drive/completions.go
@@ -114,6 +114,9 @@
 		}
 		fmt.Fprintf(&text, "%s.%d.%d.%d#%d@%s=%s", re.Id.Job, re.Id.Occurrence, re.Id.Step, re.Id.Index, re.Id.Run, re.Agent,
 			outcomeNames[re.Outcome])
+		if re.Presumed {
+			text.WriteString("?")
+		}
 	}
 	return text.String()
 }
--- a/internal/sched/drive/crash_report.go
+++ b/internal/sched/drive/crash_report.go
@@ -39,7 +39,7 @@
 		case a.dropping:
 		case a.connectionClosed && !a.crashReported && e.now-a.closedAt >= crashReportDelay:
 			a.crashReported = true
-			if ends := blamedRuns(a); len(ends) > 0 {
+			if ends := e.blamedRuns(a); len(ends) > 0 {
 				reports = append(reports, &wire.CrashReport{Id: a.record.Id, Ends: ends})
 			}
 		case a.failedPolls == 0 && a.synced && a.crashReported:
@@ -63,26 +63,26 @@
 		})
 }
 
-// blamedRuns returns the runs that are blamed if an agent has crashed, with their outcomes.
-func blamedRuns(a *agent) []*wire.RunEnd {
+// blamedRuns returns the ends of the runs that are blamed if an agent has crashed.
+func (e *Engine) blamedRuns(a *agent) []*wire.RunEnd {
 	var ends []*wire.RunEnd
 	for _, r := range a.sortedRuns {
-		if outcome := r.crashOutcome(); !r.endPending && outcome != wire.RunOutcome_RUN_OUTCOME_LOST {
-			ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: a.record.Id, Outcome: outcome, Checkpoint: r.checkpoint})
+		if !a.synced && e.placedLongBefore(r) {
+			continue
+		}
+		if end := r.crashEnd(); !r.endPending && end.Outcome != wire.RunOutcome_RUN_OUTCOME_LOST {
+			ends = append(ends, end)
 		}
 	}
 	return ends
 }
 
-// reportedOutcome returns the outcome of a run according to its agent's crash report;
-// RUN_OUTCOME_LOST if there is none or the agent has answered since.
-func (e *Engine) reportedOutcome(r *run) wire.RunOutcome {
+// reportedEnd returns the end of a run according to its agent's crash report; nil if there
+// is none or the agent has answered since.
+func (e *Engine) reportedEnd(r *run) *wire.RunEnd {
 	registered := e.graph.Agent(r.agent.record.Id)
 	if registered == nil || r.agent.synced && r.agent.failedPolls == 0 {
-		return wire.RunOutcome_RUN_OUTCOME_LOST
-	}
-	if end := registered.ReportedCrash(r.id()); end != nil {
-		return end.Outcome
+		return nil
 	}
-	return wire.RunOutcome_RUN_OUTCOME_LOST
+	return registered.ReportedCrash(r.id())
 }
--- a/internal/sched/drive/crash_test.go
+++ b/internal/sched/drive/crash_test.go
@@ -249,9 +249,7 @@
 				}
 				s.run(20*time.Second, 0)
 			}
-			task := s.graph.Job(s.jobs[0]).Record().Tasks[0]
-			assert.Equal(t, task.Crashes, uint32(0), "%v", task)
-			assert.Equal(t, s.graph.Job(s.jobs[0]).State, wire.WorkState_WORK_STATE_RUNNING)
+			s.assertNoCrashes(t)
 		})
 	}
 }
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -62,6 +62,7 @@
 		graph       *graph.Graph
 		term        uint64 // the term it leads in; 0 if it is not the leader
 		leaderSince time.Duration
+		electedAt   time.Time // the same by the time of day
 		now         time.Duration
 		agents      map[string]*agent
 		runs        map[*graph.Task]*run
@@ -220,7 +221,7 @@
 // may exist; its actual status is unknown until its agent answers under the new fence.
 func (e *Engine) startTerm(term uint64) {
 	e.reset()
-	e.term, e.leaderSince = term, e.now
+	e.term, e.leaderSince, e.electedAt = term, e.now, e.options.WallClock()
 	for id := range e.graph.Agents() {
 		e.changedAgents[id] = true
 	}
@@ -269,6 +270,9 @@
 		a.clock.update(ans.Clock, now)
 	}
 	if ans.Verdict == OtherIncarnation {
+		if r := e.findRun(a, ans.Order.Run); r != nil && ans.Order.Kind == Start {
+			r.startsAnswered++ // it wasn't executed
+		}
 		e.dropAgent(a, superseded, "another incarnation lives at its address")
 		return
 	}
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -38,38 +38,54 @@
 
 // endLostRuns ends the runs of an agent before it is dropped, if more has to be recorded
 // than their loss: a checkpoint, or that the run may have crashed the agent. Runs are
-// blamed only if the agent was superseded, had not announced that it leaves and closed its
-// connections. An agent that became unreachable without closing them was cut off or went
-// down with its instance; blaming its runs would fail jobs that did nothing wrong after
-// repeated partitions. The connections don't matter for an agent that never answered this
-// leader, and for a task that was blamed before, as they may become unresponsive just
-// before a crash.
+// blamed only if the agent was superseded and had not announced that it leaves.
 func (e *Engine) endLostRuns(a *agent, cause dropCause) {
 	crashed := cause == superseded && !a.record.Leaving
-	evident := a.connectionClosed || !a.synced
 	var ends []*wire.RunEnd
 	for _, r := range a.sortedRuns {
 		if r.endPending {
 			continue
 		}
-		outcome := wire.RunOutcome_RUN_OUTCOME_LOST
+		end := r.end(wire.RunOutcome_RUN_OUTCOME_LOST)
 		if crashed {
-			outcome = e.reportedOutcome(r)
+			end = e.endAfterCrash(r)
 		}
-		if crashed && outcome == wire.RunOutcome_RUN_OUTCOME_LOST && (evident || r.task.Crashes > 0) {
-			outcome = r.crashOutcome()
-		}
-		if outcome == wire.RunOutcome_RUN_OUTCOME_LOST && r.checkpoint == "" {
+		if end.Outcome == wire.RunOutcome_RUN_OUTCOME_LOST && r.checkpoint == "" {
 			continue // dropping the agent records the loss
 		}
 		r.endPending = true
-		ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: a.record.Id, Outcome: outcome, Checkpoint: r.checkpoint})
+		ends = append(ends, end)
 	}
 	if len(ends) > 0 {
 		e.commitEnds(ends, func(bool) {})
 	}
 }
 
+// endAfterCrash returns the end of a run whose agent has been superseded. A crash is detected
+// if the agent closed its connections; the report of an earlier leader tells so as well.
+// An agent that became unreachable without closing them was cut off or went down with its
+// instance; blaming its runs would fail jobs that did nothing wrong after repeated
+// partitions. Such crashes are only presumed, and only of two kinds: of an agent that
+// never answered this leader, for runs that may just have started there, and under a task
+// that was blamed before, as connections may become unresponsive just before a crash.
+func (e *Engine) endAfterCrash(r *run) *wire.RunEnd {
+	if end := e.reportedEnd(r); end != nil {
+		return end
+	}
+	a := r.agent
+	neverHeard := !a.synced && !e.placedLongBefore(r)
+	if neverHeard || a.synced && (a.connectionClosed || r.task.Crashes > 0) {
+		return r.crashEnd()
+	}
+	return r.end(wire.RunOutcome_RUN_OUTCOME_LOST)
+}
+
+// placedLongBefore reports whether a run was placed so long before this leader's election
+// that it can't be blamed for a crash since then. Unknown times count as recent.
+func (e *Engine) placedLongBefore(r *run) bool {
+	return r.task.PlacedAt != 0 && e.electedAt.Sub(time.UnixMilli(r.task.PlacedAt)) >= crashBlameWindow
+}
+
 // abandonRuns ends all runs on an unreachable agent whose lease has expired. The agent
 // stays registered and is used again once it answers.
 func (e *Engine) abandonRuns(a *agent) {
@@ -80,11 +96,11 @@
 			continue
 		}
 		lost = append(lost, r)
-		outcome := wire.RunOutcome_RUN_OUTCOME_LOST
-		if !a.record.Leaving {
-			outcome = e.reportedOutcome(r)
+		end := e.reportedEnd(r)
+		if end == nil || a.record.Leaving {
+			end = r.end(wire.RunOutcome_RUN_OUTCOME_LOST)
 		}
-		ends = append(ends, &wire.RunEnd{Id: r.id(), Agent: a.record.Id, Outcome: outcome, Checkpoint: r.checkpoint})
+		ends = append(ends, end)
 	}
 	if len(lost) == 0 {
 		return
@@ -108,9 +124,9 @@
 // A task that crashes agents before they can answer still fails its job, two agents
 // later.
 func (r *run) crashOutcome() wire.RunOutcome {
-	neverSent := r.startsSent == 0 && r.phase != phaseUnknown
+	neverStarted := r.startsSent == r.startsAnswered && r.phase != phaseUnknown
 	switch {
-	case r.firstConfirmedAt == 0 && neverSent, r.confirmedFor() >= crashBlameWindow:
+	case r.firstConfirmedAt == 0 && neverStarted, r.confirmedFor() >= crashBlameWindow:
 		return wire.RunOutcome_RUN_OUTCOME_LOST
 	case r.firstConfirmedAt != 0 && r.confirmedFor() < startWindow:
 		return wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START
@@ -119,6 +135,18 @@
 	}
 }
 
+// end returns the end of the run with an outcome.
+func (r *run) end(outcome wire.RunOutcome) *wire.RunEnd {
+	return &wire.RunEnd{Id: r.id(), Agent: r.agent.record.Id, Outcome: outcome, Checkpoint: r.checkpoint}
+}
+
+// crashEnd returns the end of the run if its agent has crashed.
+func (r *run) crashEnd() *wire.RunEnd {
+	end := r.end(r.crashOutcome())
+	end.Presumed = end.Outcome != wire.RunOutcome_RUN_OUTCOME_LOST && !r.agent.connectionClosed
+	return end
+}
+
 // confirmedFor returns the time between the first and the latest confirmation of the run.
 func (r *run) confirmedFor() time.Duration { return r.confirmedAt - r.firstConfirmedAt }
 
--- a/internal/sched/drive/restart_test.go
+++ b/internal/sched/drive/restart_test.go
@@ -172,6 +172,76 @@
 	assertJobsEnd(t, 92, s)
 }
 
+// Guards against a job that fails because its task was placed on agents that were unreachable or
+// had restarted, so that it never ran there or had ended before.
+func TestRestartsAndPartitionsFailNoJob(t *testing.T) {
+	listed := faults{incarnations: true, restart: 0.01, late: 0.02, lost: 0.02, partition: 0.002, leaderChange: 0.001, failedRun: 0.02}
+	declared, cut, cutMore, crashing := listed, listed, listed, listed
+	declared.disabled = disabled(drive.EstimateDurations)
+	cut.partition = 0.01
+	cutMore.partition, cutMore.leaderChange = 0.01, 0.003
+	crashing.restart, crashing.crashingTask = 0, 0.1
+	cases := []struct {
+		name   string
+		faults faults
+		seeds  []uint64
+	}{
+		{"declared durations", declared, []uint64{92}},
+		{"partitions", cut, []uint64{67, 323}},
+		{"partitions and leader changes", cutMore, []uint64{191, 226}},
+		{"tasks that crash agents", crashing, []uint64{71}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, n := range c.seeds {
+				s := newSim(n, 6, true, c.faults)
+				s.run(30*time.Second, 1)
+				assertJobsEnd(t, n, s)
+			}
+		})
+	}
+}
+
+// Guards against standing tasks that are blamed for each crash of an agent while there is no leader,
+// however long they have run, and fail after some changes of leader.
+func TestLongRunningTasksAreNotBlamedAfterElection(t *testing.T) {
+	cases := []struct {
+		name string
+		end  func(*sim, *modelAgent)
+	}{
+		{"restart", func(s *sim, agent *modelAgent) { s.restart(agent, 300*time.Millisecond) }},
+		{"refused connections", func(s *sim, agent *modelAgent) { s.crashByRun(agent, nil) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(1, 4, true, faults{incarnations: true})
+			s.crashedFor = 5 * time.Second // until after the election
+			s.run(2*time.Second, 0)
+			s.submitJob(&wire.Step{Count: 1, CpuMillis: 1000, EstimateMs: 500, Standing: true})
+			for range 6 {
+				s.run(20*time.Second, 0)
+				s.depose()
+				for _, a := range sortedKeys(s.agents) {
+					if agent := s.agents[a]; len(agent.runs) > 0 {
+						c.end(s, agent)
+					}
+				}
+			}
+			s.run(20*time.Second, 0)
+			s.assertNoCrashes(t)
+			assert.Equal(t, runCount(s, 0), uint32(7))
+		})
+	}
+}
+
+// assertNoCrashes asserts that the first job runs and that no crash is counted for it.
+func (s *sim) assertNoCrashes(t *testing.T) {
+	t.Helper()
+	task := s.graph.Job(s.jobs[0]).Record().Tasks[0]
+	assert.Equal(t, task.Crashes, uint32(0), "%v", task)
+	assert.Equal(t, s.graph.Job(s.jobs[0]).State, wire.WorkState_WORK_STATE_RUNNING)
+}
+
 // Guards against registering two incarnations of an agent under the same id when their reports
 // arrive before the first registration is committed.
 func TestReportsOfTwoIncarnationsWithinACommit(t *testing.T) {
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -44,7 +44,7 @@
 	case *wire.WorkCommand_DropAgent:
 		return Result{Err: g.removeAgent(at, body.DropAgent)}
 	case *wire.WorkCommand_Place:
-		return g.placeRuns(body.Place)
+		return g.placeRuns(at, body.Place)
 	case *wire.WorkCommand_End:
 		for _, e := range body.End.Ends {
 			g.endRun(at, e)
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -58,7 +58,13 @@
 		// placed there, and StartCrashes the number of those that crashed as it started.
 		// The task may be the cause of any of them.
 		Crashes, StartCrashes uint32
-		Done                  bool
+		// PresumedCrashes is the number of the crashes that were presumed without seeing the
+		// connections to the agent closed.
+		PresumedCrashes uint32
+		// PlacedAt is when the latest run was placed, in milliseconds since 1970; 0 if
+		// unknown.
+		PlacedAt int64
+		Done     bool
 		// Checkpoint is the point from which the next run resumes, or empty.
 		Checkpoint string
 		// Agent is the agent on which the latest run may exist; empty if the run has
@@ -90,7 +96,26 @@
 // is isolated from all other starts. It ignores the later crashes of standing tasks, which
 // have to restart quickly and can't wait for an isolated start.
 func (t *Task) OnFinalAttempt() bool {
-	return t.StartCrashes == MaxStartCrashes-1 || t.Crashes == MaxCrashes-1 && !t.Stage.Standing()
+	if t.Crashes == 0 {
+		return false
+	}
+	if t.StartCrashes+1 >= MaxStartCrashes && crashLimitReached(t.Crashes+1, t.StartCrashes+1, t.PresumedCrashes) {
+		return true
+	}
+	return !t.Stage.Standing() && crashLimitReached(t.Crashes+1, t.StartCrashes, t.PresumedCrashes)
+}
+
+// crashLimitReached reports whether a task with these counts fails its job.
+func crashLimitReached(crashes, atStart, presumed uint32) bool {
+	detected := crashes - presumed
+	switch {
+	case detected >= minDetectedCrashes:
+		return atStart >= MaxStartCrashes || crashes >= MaxCrashes
+	case detected > 0 && atStart >= MaxStartCrashes:
+		return crashes >= MaxCrashes
+	default:
+		return crashes >= maxPresumedCrashes
+	}
 }
 
 // Ended reports whether the job has reached its final state.
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -22,19 +22,25 @@
 	// since a task that runs for a while first can't be distinguished from the other runs
 	// on the agent.
 	MaxCrashes = 5
+	// minDetectedCrashes is how many of them must have been detected. The others may be
+	// coincidences: agents that were restarted after the run had ended there, or that it
+	// never reached.
+	minDetectedCrashes = 2
+	// maxPresumedCrashes is the limit for a task of whose crashes fewer are detected.
+	maxPresumedCrashes = 8
 )
 
-func (g *Graph) placeRuns(p *wire.PlaceRuns) Result {
+func (g *Graph) placeRuns(at time.Time, p *wire.PlaceRuns) Result {
 	res := Result{PlacementErrors: make([]error, len(p.Placements))}
 	for i, r := range p.Placements {
-		res.PlacementErrors[i] = g.placeRun(r)
+		res.PlacementErrors[i] = g.placeRun(at, r)
 	}
 	return res
 }
 
 // placeRun records that a run may exist. The placement is validated here, since the view
 // of the leader that proposed it may be older than this state.
-func (g *Graph) placeRun(p *wire.RunPlacement) error {
+func (g *Graph) placeRun(at time.Time, p *wire.RunPlacement) error {
 	t, agent := g.FindTask(p.Id), g.agents[p.Agent]
 	switch {
 	case t == nil:
@@ -50,7 +56,7 @@
 	case p.Id.Run <= t.Run:
 		return ErrSuperseded
 	}
-	t.Run, t.Agent = p.Id.Run, p.Agent
+	t.Run, t.Agent, t.PlacedAt = p.Id.Run, p.Agent, at.UnixMilli()
 	agent.Tasks[t] = true
 	t.Stage.Job.activeRuns++
 	g.notifyAgentChange(t.Agent)
@@ -93,10 +99,8 @@
 		g.completeTask(at, t)
 	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED && !t.Stage.Standing():
 		g.recordFailure(at, t)
-	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED:
-		g.recordCrash(at, t, false)
-	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START:
-		g.recordCrash(at, t, true)
+	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED, e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START:
+		g.recordCrash(at, t, e)
 	default:
 		if e.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
 			t.LastFailedOn = t.Agent
@@ -173,16 +177,19 @@
 
 // recordCrash counts a crash of a task's agent, for standing tasks as well. A crashed agent
 // reports no ends, so a task that crashes its agents would otherwise be restarted forever.
-func (g *Graph) recordCrash(at time.Time, t *Task, atStart bool) {
+func (g *Graph) recordCrash(at time.Time, t *Task, e *wire.RunEnd) {
 	g.releaseRun(t)
 	if t.Done {
 		return
 	}
 	t.Crashes++
-	if atStart {
+	if e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START {
 		t.StartCrashes++
 	}
-	if t.Crashes >= MaxCrashes || t.StartCrashes >= MaxStartCrashes {
+	if e.Presumed {
+		t.PresumedCrashes++
+	}
+	if crashLimitReached(t.Crashes, t.StartCrashes, t.PresumedCrashes) {
 		g.finishJob(at, t.Stage.Job, wire.WorkState_WORK_STATE_FAILED)
 	}
 }
