No job is placed on a worker that was replaced

What callers saw: jobs of one task were placed on a worker whose process had been replaced, waited up to its lease (4 s) and were blamed for its restart. After five a job failed without having run.

Cause: a worker got jobs while the lease of its registered incarnation was active, though a report of the next one had shown that it had ended.

Change: such a worker isn't eligible.

--- a/internal/sched/plan/crash_test.go
+++ b/internal/sched/plan/crash_test.go
@@ -38,6 +38,39 @@
 	simulateCrashes(t, 146)
 }
 
+// Guards against a job that fails because workers restarted on which it was placed but never ran, or
+// had ended.
+func TestRestartsFailNoJob(t *testing.T) {
+	cases := []struct {
+		name          string
+		restartChance float64
+	}{
+		{"every five seconds", 0.002},
+		{"every two seconds", 0.005},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for n := range uint64(120) {
+				s := newSim(n, 6)
+				s.restartChance = c.restartChance
+				for i := range 120 {
+					s.submit(fmt.Sprint("j", i), "a", false)
+					if i%3 == 2 {
+						s.run(time.Second)
+					}
+				}
+				s.restartChance = 0
+				s.run(time.Minute)
+				for i := range 120 {
+					id := fmt.Sprint("j", i)
+					failed := s.machine.Job(id).State == wire.JobState_JOB_STATE_FAILED
+					assert.Assert(t, !failed || s.restarts[id] >= 2, "seed %d: %s failed, %d workers with it restarted", n, id, s.restarts[id])
+				}
+			}
+		})
+	}
+}
+
 // simulateCrashes submits jobs for 40 seconds, some of which crash workers, runs the
 // simulation for three more minutes, and returns the number of jobs that crash no worker.
 func simulateCrashes(t *testing.T, seed uint64) (simulated *sim, jobs int) {
--- a/internal/sched/plan/place.go
+++ b/internal/sched/plan/place.go
@@ -116,7 +116,7 @@
 		id := w.Record.WorkerId
 		capacity := state.ResourcesOf(w.Record.Capacity)
 		eligible.total = eligible.total.Add(capacity)
-		if w.Quarantine != "" || p.options.Machine.Drained(w) || p.losing[id] || !p.leases.Active(id, w.Record.Incarnation, now) {
+		if w.Quarantine != "" || p.options.Machine.Drained(w) || p.losing[id] || p.superseded(w) || !p.leases.Active(id, w.Record.Incarnation, now) {
 			continue
 		}
 		eligible.workers = append(eligible.workers, workerView{worker: w, free: p.freeResources(w), capacity: capacity, crashSuspect: hasCrashSuspect(w)})
@@ -125,6 +125,13 @@
 	return eligible
 }
 
+// superseded reports whether another incarnation of the worker has reported. The registered
+// one has ended then, although its lease may not have expired.
+func (p *Planner) superseded(w *state.Worker) bool {
+	session := p.sessions[w.Record.WorkerId]
+	return session != nil && session.report.Worker.Incarnation != w.Record.Incarnation
+}
+
 func (p *Planner) accountQueues(now time.Time, total state.Resources) []*accountQueue {
 	var queues []*accountQueue
 	for _, n := range p.options.Machine.AccountsWithQueuedJobs() {
--- a/internal/sched/plan/sim_test.go
+++ b/internal/sched/plan/sim_test.go
@@ -71,10 +71,14 @@
 		// the number of workers each has crashed.
 		crashingJobs map[string]bool
 		crashes      map[string]int
-		completed    map[string]int
-		runningOn    map[string]string
-		violations   []string
-		evictions    int
+		// restartChance is the probability per tick that a worker restarts; restarts counts,
+		// for each job, the restarts of a worker that had it.
+		restartChance float64
+		restarts      map[string]int
+		completed     map[string]int
+		runningOn     map[string]string
+		violations    []string
+		evictions     int
 	}
 
 	simLeader struct {
@@ -88,7 +92,7 @@
 func newSim(seed uint64, workers int) *sim {
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1000, 0), machine: state.New(state.Options{Retention: time.Hour}),
-		crashingJobs: map[string]bool{}, crashes: map[string]int{}, completed: map[string]int{}, runningOn: map[string]string{},
+		crashingJobs: map[string]bool{}, crashes: map[string]int{}, restartChance: 0.0003, restarts: map[string]int{}, completed: map[string]int{}, runningOn: map[string]string{},
 	}
 	need := &wire.Resources{MilliProcessors: 1000, MemoryBytes: 1}
 	s.machine.Apply(&wire.Command{Body: &wire.Command_ApplyConfiguration{ApplyConfiguration: &wire.ApplyConfigurationRequest{
@@ -206,7 +210,7 @@
 	if !s.now.Before(w.leaseEnd) {
 		s.dropTasks(w)
 	}
-	if s.chance(0.0003) {
+	if s.chance(s.restartChance) {
 		s.restart(w)
 	}
 	for _, id := range sortedTasks(w) {
@@ -219,6 +223,9 @@
 
 // restart ends a worker's process with its tasks, and starts the next incarnation.
 func (s *sim) restart(w *simWorker) {
+	for id := range w.tasks {
+		s.restarts[id]++
+	}
 	s.dropTasks(w)
 	clear(w.tasks)
 	w.incarnation, w.sequence, w.leaseEnd = w.incarnation+"x", 0, time.Time{}
