--- a/internal/sched/drive/crash_test.go
+++ b/internal/sched/drive/crash_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"strings"
 	"testing"
@@ -211,6 +212,30 @@
 	}
 }
 
+// Guards against jobs that fail because they were placed with a task that crashes its agents, and
+// against a sixth crash, while agents also restart.
+func TestCrashingTasksBesideRestarts(t *testing.T) {
+	restarts := faults{incarnations: true, crashingTask: 0.1, late: 0.02, lost: 0.02, restart: 0.01, leaderChange: 0.001, failedRun: 0.02}
+	partitions := restarts
+	partitions.partition, partitions.leaderChange = 0.002, 0.003
+	cases := []struct {
+		seed   uint64
+		faults faults
+	}{
+		{668, restarts},
+		{298, partitions},
+		{714, partitions},
+		{807, partitions},
+	}
+	for _, c := range cases {
+		t.Run(fmt.Sprint("seed ", c.seed), func(t *testing.T) {
+			s := newSim(c.seed, 6, true, c.faults)
+			s.run(30*time.Second, 1)
+			assertJobsEnd(t, c.seed, s)
+		})
+	}
+}
+
 // Agents that leave as announced, or that are unreachable until their leases expire, haven't
 // crashed: no crash is counted for their tasks.
 func TestOnlyCrashesAreCounted(t *testing.T) {
