A crash report isn't withdrawn and repeated while a poll is pending

Change: an agent answers again once it has answered a poll after that.

TestRefusedConnectionIsReportedOnce fails on the code before (58 reports in three seconds instead of one and its withdrawal) and passes.

--- a/internal/sched/drive/crash_report.go
+++ b/internal/sched/drive/crash_report.go
@@ -42,7 +42,7 @@
 			if ends := e.blamedRuns(a); len(ends) > 0 {
 				reports = append(reports, &wire.CrashReport{Id: a.record.Id, Ends: ends})
 			}
-		case a.failedPolls == 0 && a.synced && a.crashReported:
+		case a.answering() && a.crashReported:
 			alive = append(alive, a)
 			reports = append(reports, &wire.CrashReport{Id: a.record.Id})
 		}
@@ -77,11 +77,15 @@
 	return ends
 }
 
+// answering reports whether the agent has answered this leader and nothing since indicates
+// that it has ended.
+func (a *agent) answering() bool { return a.synced && a.failedPolls == 0 && !a.connectionClosed }
+
 // reportedEnd returns the end of a run according to its agent's crash report; nil if there
 // is none or the agent has answered since.
 func (e *Engine) reportedEnd(r *run) *wire.RunEnd {
 	registered := e.graph.Agent(r.agent.record.Id)
-	if registered == nil || r.agent.synced && r.agent.failedPolls == 0 {
+	if registered == nil || r.agent.answering() {
 		return nil
 	}
 	return registered.ReportedCrash(r.id())
--- a/internal/sched/drive/crash_test.go
+++ b/internal/sched/drive/crash_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sycamoredeck.example/internal/sched/drive"
 	"sycamoredeck.example/internal/schema/wire"
 )
 
@@ -236,6 +237,24 @@
 	}
 }
 
+// Guards against reports and withdrawals that follow one another for as long as a poll is pending on
+// an agent that refused a connection.
+func TestRefusedConnectionIsReportedOnce(t *testing.T) {
+	s := newSim(1, 1, true, faults{incarnations: true})
+	s.run(2*time.Second, 0)
+	s.submitJob(&wire.Step{Count: 1, CpuMillis: 1000, EstimateMs: 60000})
+	s.run(time.Second, 0)
+	agent := s.agents["10.0.0.0:1"].record
+	run := &wire.RunId{Job: jobID(1), Run: 1}
+	s.engine.HandleAnswer(s.now, drive.Answer{
+		Order:   drive.Order{Kind: drive.Throttle, Agent: agent, Run: run, Fence: s.term},
+		Verdict: drive.NotSent, ConnectionClosed: true,
+	})
+	s.run(3*time.Second, 0)
+	assert.Equal(t, s.crashReports, 2, "a report and its withdrawal")
+	assert.Assert(t, s.graph.Agent(agent.Id).CrashReport == nil)
+}
+
 // Agents that leave as announced, or that are unreachable until their leases expire, haven't
 // crashed: no crash is counted for their tasks.
 func TestOnlyCrashesAreCounted(t *testing.T) {
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -112,7 +112,8 @@
 		// refusingAddresses are the addresses of running instances without an agent process.
 		refusingAddresses map[string]bool
 		// crashedFor is how long an agent that was crashed by a run is away.
-		crashedFor time.Duration
+		crashedFor   time.Duration
+		crashReports int // committed commands with crash reports
 		// undetectedCrashes is set while crashes close no connections.
 		undetectedCrashes bool
 		// failedRuns counts the failed runs of a task, acknowledged or not.
@@ -266,6 +267,9 @@
 	p.command.At = timestamppb.New(time.Unix(0, 0).Add(s.now))
 	// Committed commands are decoded from the log and don't share memory with the proposal.
 	command := proto.Clone(p.command).(*wire.Command)
+	if command.GetWork().GetCrashReports() != nil {
+		s.crashReports++
+	}
 	res := s.commit(command.GetWork())
 	p.done(state.Result{Err: res.Err, PlacementErrors: res.PlacementErrors}, nil)
 }
