The parts of a start are measured and logged

From handing in to the first start of a task half of the fleet's jobs took 123 to 259 ms, and no line or metric said where.

--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -114,8 +114,9 @@
 	go func() {
 		answer := drive.Answer{Order: o, Verdict: drive.NotSent, Detail: "no leader lease"}
 		if c.node.HoldsLeaderLease(o.Fence) {
+			calledAt := boot.Now()
 			answer = c.platform.SendOrder(context.Background(), o)
-			answer.Order = o
+			answer.Order, answer.CalledAt, answer.ReturnedAt = o, calledAt, boot.Now()
 		}
 		c.node.Post(func() { c.engine.HandleAnswer(boot.Now(), answer) })
 	}()
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -118,8 +118,8 @@
 		// ready since it was last updated.
 		queue      pendingQueue
 		newlyReady []*graph.Stage
-		// readySince is when each stage was first seen with tasks to place.
-		readySince map[*graph.Stage]time.Duration
+		// progress is the progress of each stage that was seen with tasks to place.
+		progress map[*graph.Stage]*stageProgress
 	}
 )
 
@@ -166,7 +166,7 @@
 	e.loggedStale = map[string]uint64{}
 	e.runningCPU = map[loadKey]float64{}
 	e.queue, e.newlyReady = pendingQueue{}, nil
-	e.readySince = map[*graph.Stage]time.Duration{}
+	e.progress = map[*graph.Stage]*stageProgress{}
 	e.reservations = map[*graph.Task]string{}
 	clear(e.estimates.jobs)
 	e.advice, e.advicePending = map[*graph.Stage]*stageAdvice{}, false
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -26,6 +26,12 @@
 	completionsSkipped = metrics.NewCounter("sycamoredeck_run_ends_skipped_total")
 	runsStalled        = metrics.NewCounter("sycamoredeck_runs_stalled_total")
 	readyToStart       = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
+	// The parts of the way from a ready stage to a started run.
+	queueSeconds    = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="queue"}`)
+	commitSeconds   = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="commit"}`)
+	dispatchSeconds = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="dispatch"}`)
+	callSeconds     = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="call"}`)
+	answerSeconds   = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="answer"}`)
 )
 
 // outcomeNames and outcomeCounters are precomputed, as thousands of runs may end in a
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -60,6 +60,9 @@
 		// or refused the connection, as happens when its process has ended. An
 		// unreachable peer leaves it false.
 		ConnectionClosed bool
+		// CalledAt and ReturnedAt are when the call to the agent began and ended, on the
+		// boot clock; 0 if unknown.
+		CalledAt, ReturnedAt time.Duration
 		// Detail describes a failure, for logs.
 		Detail string
 	}
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -66,6 +66,7 @@
 		before := len(p.placed)
 		p.placeStage(r)
 		if len(p.placed) > before {
+			e.progress[r.stage].recordProposal(e.now)
 			e.logPlaced(r, p.placed[before:])
 		}
 		return len(p.placed) < maxPlacements
@@ -106,6 +107,7 @@
 		if t == nil || a == nil || t.Agent != p.Agent || t.Run != p.Id.Run {
 			continue
 		}
+		e.progress[t.Stage].recordCommit(e.now)
 		e.syncTask(a, t)
 		r := e.runs[t]
 		if e.reasonToStop(r) != "" {
--- a/internal/sched/drive/queue.go
+++ b/internal/sched/drive/queue.go
@@ -103,8 +103,8 @@
 
 // recordReady records when a stage first had tasks to place.
 func (e *Engine) recordReady(s *graph.Stage) {
-	if _, known := e.readySince[s]; !known {
-		e.readySince[s] = e.now
+	if e.progress[s] == nil {
+		e.progress[s] = &stageProgress{readyAt: e.now}
 	}
 }
 
@@ -119,9 +119,9 @@
 			delete(e.estimates.jobs, j)
 		}
 	}
-	for s := range e.readySince {
+	for s := range e.progress {
 		if s.Job.Ended() {
-			delete(e.readySince, s)
+			delete(e.progress, s)
 			delete(e.advice, s)
 		}
 	}
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -264,9 +264,7 @@
 		r.startedAt, r.progressAt = e.now, e.now
 		r.confirm(e.now)
 		a.nextPoll = e.now // to learn of its completion
-		if since, ok := e.readySince[r.task.Stage]; ok && r.number == 1 {
-			readyToStart.Update((e.now - since).Seconds())
-		}
+		e.recordStarted(r, ans)
 	case NoAnswer, RefusedExpired, RefusedFence, NoConnection:
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetryInterval
 	case RefusedStale:
