Entries exchange hellos with voters only

Each of the fleet's 583 entries kept ten connections and exchanged hellos with ten replicas, of which five vote. The others know nothing that a voter doesn't: the leader, the members, the configuration and the drains come from the log, and the entries say hello to the voters as well. So half of an entry's idle cost, and nearly all of an idle standby's, bought nothing.

An entry now watches the voters, and all addresses that it knows while no quorum of them responds: it may have missed a change of members. Links to others are closed, as they would still be pinged.

--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -3,8 +3,8 @@
 // Package uplink connects an entry with the control replicas. It tracks the leader, the
 // other entries, the configuration and the drained failure domains.
 //
-// The entry exchanges hellos with every replica, so that the loss of the leader doesn't
-// delay updates.
+// The entry exchanges hellos with every voter, so that the loss of the leader doesn't delay
+// updates.
 package uplink
 
 import (
@@ -103,7 +103,7 @@
 
 // Run exchanges hellos with the replicas until the context ends.
 func (u *Uplink) Run(ctx context.Context) {
-	u.syncLoops(ctx, nil)
+	u.syncLoops(ctx)
 	ticker := u.options.Clock.NewTicker(refreshInterval)
 	defer ticker.Stop()
 	for {
@@ -111,7 +111,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.Chan():
-			u.syncLoops(ctx, u.memberAddresses())
+			u.syncLoops(ctx)
 			u.refresh()
 		}
 	}
@@ -124,13 +124,13 @@
 	u.configuredAddresses = addresses
 }
 
-// syncLoops runs one hello loop for each configured or member address.
-func (u *Uplink) syncLoops(ctx context.Context, addresses []string) {
+// syncLoops runs one hello loop for each replica to watch.
+func (u *Uplink) syncLoops(ctx context.Context) {
+	hasQuorum := u.HasQuorum()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	needed := map[string]bool{}
-	for _, a := range append(append([]string(nil), u.configuredAddresses...), addresses...) {
-		needed[a] = true
+	needed := u.watchedAddresses(hasQuorum)
+	for a := range needed {
 		if u.helloLoops[a] == nil {
 			loopCtx, cancel := context.WithCancel(ctx)
 			u.helloLoops[a] = cancel
@@ -154,6 +154,25 @@
 			pause = helloBackoff
 		}
 		select {
+// watchedAddresses returns the addresses of the replicas to exchange hellos with: those of
+// the voters. Other members know nothing that the voters don't, and hellos to them would
+// double the load. While no quorum responds, all known addresses are tried, since the
+// members may have changed meanwhile. The caller holds mu.
+func (u *Uplink) watchedAddresses(hasQuorum bool) map[string]bool {
+	watched := map[string]bool{}
+	for _, m := range u.members() {
+		if m.Voter || !hasQuorum {
+			watched[m.Address] = true
+		}
+	}
+	if !hasQuorum {
+		for _, a := range u.configuredAddresses {
+			watched[a] = true
+		}
+	}
+	return watched
+}
+
 		case <-ctx.Done():
 		case <-u.options.Clock.After(pause):
 		}
@@ -352,29 +371,19 @@
 
 // Addresses returns the addresses of all processes that this entry connects to.
 func (u *Uplink) Addresses() map[string]bool {
-	addresses := map[string]bool{}
-	members := u.memberAddresses()
+	hasQuorum := u.HasQuorum()
 	u.mu.Lock()
-	for _, a := range append(members, u.configuredAddresses...) {
-		addresses[a] = true
+	defer u.mu.Unlock()
+	addresses := u.watchedAddresses(hasQuorum)
+	if u.leaderAddress != "" {
+		addresses[u.leaderAddress] = true
 	}
-	u.mu.Unlock()
-	for _, e := range u.Entries() {
+	for _, e := range u.entries {
 		addresses[e.Address] = true
 	}
 	return addresses
 }
 
-func (u *Uplink) memberAddresses() []string {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	var addresses []string
-	for _, m := range u.members() {
-		addresses = append(addresses, m.Address)
-	}
-	return addresses
-}
-
 // members returns the members of the cluster as of the newest response. The caller holds mu.
 func (u *Uplink) members() []*wire.ControlMember {
 	// A replica that hasn't joined the cluster responds without members.
