Followers answer inspections of work

After each change of the configuration every entry is asked what is in force and how many jobs are pending, and clients ask for the states of their jobs. All of it went to the leader's event loop.

Entries now send inspections to a voter that isn't the leader, each to one of its own, and to the leader only if that doesn't answer within 0.4 s. A follower asks the leader for a read index, one request at a time for all reads that wait, applies the log up to it and answers, so that reads stay linearizable: whatever was acknowledged before is seen.

--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/jonboulle/clockwork"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -470,6 +471,26 @@
 	return u.leaderAddress
 }
 
+// FollowerAddress returns the address of a responsive voter other than the leader, or "" if
+// there is none. Entries choose different ones, and each keeps its own while it responds.
+func (u *Uplink) FollowerAddress() string {
+	now := u.options.Clock.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	var best string
+	var bestHash uint64
+	for _, m := range u.members() {
+		rs := u.replicas[m.Address]
+		if !m.Voter || m.Address == u.leaderAddress || rs.failedHellos > 0 || now.Sub(rs.receivedAt) > statusTTL {
+			continue
+		}
+		if h := xxhash.Sum64String(u.options.Self.EntryId + "\x00" + m.Address); best == "" || h > bestHash {
+			best, bestHash = m.Address, h
+		}
+	}
+	return best
+}
+
 // Leader returns a connection to the leader.
 func (u *Uplink) Leader() (*grpc.ClientConn, error) {
 	address := u.LeaderAddress()
--- a/internal/front/uplink/uplink_test.go
+++ b/internal/front/uplink/uplink_test.go
@@ -93,3 +93,27 @@
 	f.receiveEntries(members[0], 1, true, nil, nil)
 	assert.Assert(t, &before[0] == &f.uplink.Entries()[0])
 }
+
+// Guards against inspections that load the leader, or wait for a follower that doesn't respond.
+func TestFollowerAddress(t *testing.T) {
+	cases := []struct {
+		name string
+		lost []string
+		want []string // any of them
+	}{
+		{"all respond", nil, members[1:3]},
+		{"a follower is lost", members[1:2], members[2:3]},
+		{"all followers are lost", members[1:3], []string{""}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, len(members))
+			f.learners = 2
+			for _, a := range members {
+				f.receiveHello(a, members[0], 2)
+			}
+			f.lose(c.lost)
+			assert.Assert(t, slices.Contains(c.want, f.uplink.FollowerAddress()), "chose %q", f.uplink.FollowerAddress())
+		})
+	}
+}
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -78,6 +78,7 @@
 		server       *grpc.Server
 		view         atomic.Pointer[view]
 		entries      entryTable
+		readIndex    readIndexer
 		watchers     watchTable
 		failed       chan error
 		// running is set once node may be used by other goroutines.
@@ -103,6 +104,7 @@
 		settings: settings, logger: logger, platform: platform, clock: clockwork.NewRealClock(),
 		failed: make(chan error, 1), closing: make(chan struct{}),
 	}
+	c.readIndex.fetch = c.fetchReadIndex
 	limitMemory(settings.MemoryLimitMb)
 	flush, err := spans.StartExport(ctx, "control", settings.Common)
 	if err != nil {
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -240,13 +240,11 @@
 	}
 }
 
-// InspectWork returns the state of a job, or the number of a queue's pending jobs.
+// InspectWork returns the state of a job, or the number of a queue's pending jobs. Any
+// replica answers, so that the inspections of all entries don't load the leader.
 func (s *workService) InspectWork(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
-	if err := s.checkReady(); err != nil {
-		return nil, err
-	}
 	response := &wire.InspectWorkResponse{Answer: wire.WorkAnswer_WORK_ANSWER_UNKNOWN_QUEUE}
-	err := s.read(ctx, func() {
+	err := s.readAnywhere(ctx, func() {
 		g := s.machine.Graph()
 		q, id := g.MatchQueue(r.Target.GetHost(), r.Target.GetPath())
 		if q == nil {
--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,8 +20,17 @@
 	workAnswered   = metrics.NewCounter(`sycamoredeck_work_requests_total{outcome="answered"}`)
 	workUnanswered = metrics.NewCounter(`sycamoredeck_work_requests_total{outcome="unanswered"}`)
 	workSeconds    = metrics.NewHistogram("sycamoredeck_work_request_seconds")
+	// workNotAtFollower counts inspections that no follower answered; the leader is asked
+	// then.
+	workNotAtFollower = metrics.NewCounter("sycamoredeck_work_inspections_at_leader_total")
 )
 
+// followerTimeout is the time limit for a follower's answer. It leaves time to ask the
+// leader.
+const followerTimeout = 400 * time.Millisecond
+
+var errNoFollower = errors.New("entry: no follower responds")
+
 // workService implements WorkService for gRPC clients.
 type workService struct {
 	wire.UnimplementedWorkServiceServer
@@ -88,7 +98,11 @@
 	}
 	p.Inspect = func(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
 		startedAt := e.clock.Now()
-		response, err := inspect(ctx, r)
+		response, err := e.inspectAtFollower(ctx, r)
+		if err != nil {
+			workNotAtFollower.Inc()
+			response, err = inspect(ctx, r)
+		}
 		if err != nil {
 			e.recordWork("inspect", r.Target, response.GetAnswer(), startedAt, err)
 		}
@@ -97,6 +111,22 @@
 	return p
 }
 
+// inspectAtFollower inspects work at a replica other than the leader, which has enough to
+// do.
+func (e *Entry) inspectAtFollower(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
+	address := e.uplink.FollowerAddress()
+	if address == "" {
+		return nil, errNoFollower
+	}
+	conn, err := e.pool.Conn(address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, followerTimeout)
+	defer cancel()
+	return wire.NewWorkServiceClient(conn).InspectWork(ctx, r)
+}
+
 // recordWork records the metrics and the log line of a request.
 func (e *Entry) recordWork(call string, target *wire.WorkTarget, answer wire.WorkAnswer, startedAt time.Time, err error) {
 	duration := e.clock.Now().Sub(startedAt)
--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -27,6 +28,7 @@
 	n.recordRounds()
 	n.updateRole()
 	n.completeReads()
+	n.completeAppliedReads()
 	n.maybeSnapshot()
 	if n.options.AfterIteration != nil && !n.failed {
 		n.options.AfterIteration(n.options.Clock.Now())
@@ -253,6 +255,17 @@
 	n.reads = kept
 }
 
+// completeAppliedReads runs the reads whose index is applied.
+func (n *Node) completeAppliedReads() {
+	n.appliedReads = slices.DeleteFunc(n.appliedReads, func(r appliedRead) bool {
+		ready := n.appliedIndex >= r.index
+		if ready {
+			r.done()
+		}
+		return ready
+	})
+}
+
 // recordRounds tracks when each heartbeat round was sent, and renews the leader lease with
 // the send time of the latest round that a quorum has acknowledged.
 //
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -106,6 +106,12 @@
 		done         func(error)
 	}
 
+	// appliedRead is a read that runs once index is applied.
+	appliedRead struct {
+		index uint64
+		done  func()
+	}
+
 	// sentRound is a heartbeat round that no quorum has acknowledged yet.
 	sentRound struct {
 		round        uint64
@@ -128,6 +134,7 @@
 		waiters           map[uint64]waiter // by log index
 		reads             []pendingRead
 		newReads          []func(error) // not assigned to a heartbeat round yet
+		appliedReads      []appliedRead
 		unconfirmedRounds []sentRound
 		lastRecordedRound uint64 // the highest round ever added to unconfirmedRounds
 		confirmedAt       time.Time
@@ -312,6 +319,29 @@
 	}
 }
 
+// AppliedIndex returns the index of the last applied log entry. It must be called on the
+// event loop.
+func (n *Node) AppliedIndex() uint64 { return n.appliedIndex }
+
+// ReadApplied runs f on the event loop once the log is applied up to index, on any replica.
+func (n *Node) ReadApplied(ctx context.Context, index uint64, f func()) error {
+	ran := make(chan struct{})
+	enqueue := func() {
+		n.appliedReads = append(n.appliedReads, appliedRead{index, func() { f(); close(ran) }})
+	}
+	if !n.Post(enqueue) {
+		return ErrStopped
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-n.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Step passes messages from another replica to the replicated log.
 func (n *Node) Step(messages []*wire.PeerMessage) {
 	n.Post(func() {
