A new leader polls agents a few hundred at a time

After an election all agents were polled at once.

First polls in flight are now limited to 400. An answer takes a few milliseconds, so the leader's processor is as busy as before and its loop comes round. Agents that didn't answer aren't limited, as each takes a slot until its time limit.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -46,14 +46,16 @@
 	clock      agentClock
 	// synced is set by the first answer under this leader's fence: from then on the agent
 	// refuses orders of earlier leaders.
-	synced      bool
-	polling     bool
-	pollSentAt  time.Duration
-	pollWait    time.Duration // how long the agent may hold back its answer
-	pollPause   time.Duration // between the answer and the next poll
-	nextPoll    time.Duration
-	answeredAt  time.Duration // when the last poll was answered
-	failedPolls int           // consecutive polls without an answer
+	synced bool
+	// awaitsFirstPoll is set while it is in Engine.firstPolls.
+	awaitsFirstPoll bool
+	polling         bool
+	pollSentAt      time.Duration
+	pollWait        time.Duration // how long the agent may hold back its answer
+	pollPause       time.Duration // between the answer and the next poll
+	nextPoll        time.Duration
+	answeredAt      time.Duration // when the last poll was answered
+	failedPolls     int           // consecutive polls without an answer
 	// expiryCommitted is set once the expiry of its leases is proposed or committed.
 	expiryCommitted  bool
 	connectionClosed bool // its process has ended; see recordClosedConnection
@@ -147,12 +149,18 @@
 	if a.polling || a.endsPending || e.now < a.nextPoll {
 		return
 	}
+	if !e.mayPoll(a) {
+		return
+	}
 	next := e.planPoll(a)
 	a.polling, a.pollSentAt, a.pollWait, a.pollPause = true, e.now, next.wait, next.pause
 	if next.wait > 0 {
 		e.longPolls++
 	}
-	o := Order{Kind: Poll, LastAcked: a.lastAcked, Wait: next.wait}
+	o := Order{Kind: Poll, LastAcked: a.lastAcked, Wait: next.wait, first: !a.synced && a.failedPolls == 0}
+	if o.first {
+		e.firstPolls.inFlight++
+	}
 	// An unreachable agent's lease is not renewed: any renewal may have arrived, so each
 	// retry would postpone its expiry, and the runs would never be abandoned.
 	if a.leaseRenewable() {
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -99,7 +99,8 @@
 		nextSave            time.Duration // when to persist the tail model
 		savedEstimates      *wire.Learned
 		nextDemandUpdate    time.Duration
-		longPolls           int           // polls in flight that wait for a completion
+		longPolls           int // polls in flight that wait for a completion
+		firstPolls          firstPolls
 		nextUnreachableScan time.Duration // when to scan for unreachable agents
 		unreachablePending  bool          // a proposal of commitUnreachable is in flight
 		nextCrashScan       time.Duration // when to scan for agents that crashed
@@ -157,7 +158,7 @@
 }
 
 func (e *Engine) reset() {
-	e.agents, e.due = directory{}, dueAgents{}
+	e.agents, e.due, e.firstPolls = directory{}, dueAgents{}, firstPolls{}
 	e.runs = map[*graph.Task]*run{}
 	e.changedAgents = map[string]bool{}
 	e.pendingEnds = endBatch{}
@@ -257,6 +258,10 @@
 	if ans.Order.Kind == Poll && ans.Order.Wait > 0 {
 		e.longPolls--
 	}
+	if ans.Order.first {
+		e.firstPolls.inFlight--
+		defer e.sendFirstPolls()
+	}
 	a := e.agents.byID[ans.Order.Agent.Id]
 	if a == nil {
 		return
--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -89,3 +89,17 @@
 
 // AgentsVisited returns how many agents all engines have examined.
 func AgentsVisited() uint64 { return agentsVisited.Get() }
+
+// FirstPolls returns how many agents have answered this leader, and how many others are being
+// polled for the first time.
+func (e *Engine) FirstPolls() (answered, polling int) {
+	for _, a := range e.agents.byID {
+		switch {
+		case a.synced:
+			answered++
+		case a.polling && a.failedPolls == 0:
+			polling++
+		}
+	}
+	return answered, polling
+}
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -41,6 +41,8 @@
 		Wait time.Duration
 		// CPUPercent is the share of its CPU that a throttled run may use, in percent.
 		CPUPercent int
+		// first marks a poll of an agent that this leader hasn't polled before.
+		first bool
 		// SentAt is when the order was sent, on the boot clock.
 		SentAt time.Duration
 	}
--- a/internal/sched/drive/poll.go
+++ b/internal/sched/drive/poll.go
@@ -17,8 +17,47 @@
 	// longPollShare is the share of the connections to agents that waiting polls may
 	// occupy. The rest is for orders and for polls that don't wait.
 	longPollShare = 0.5
+	// maxFirstPolls limits the polls in flight to agents that this leader hasn't polled
+	// before. An answer takes a few milliseconds, so more of them don't make a new leader
+	// faster. But with thousands at once it reads the answers only after their time limit,
+	// takes the agents for unreachable, and leaves its followers without heartbeats.
+	maxFirstPolls = 400
 )
 
+// firstPolls are the polls of agents that this leader hasn't polled before. The zero value
+// is empty.
+type firstPolls struct {
+	inFlight int
+	// waiting are the agents to poll as answers arrive. Some may be gone by then.
+	waiting []*agent
+}
+
+// mayPoll reports whether an agent may be polled now. If not, it is polled as soon as other
+// first polls are answered. Polls of an agent that didn't answer aren't limited: there may be
+// as many such agents, and each takes until its time limit.
+func (e *Engine) mayPoll(a *agent) bool {
+	if a.synced || a.failedPolls > 0 || e.firstPolls.inFlight < maxFirstPolls {
+		return true
+	}
+	if !a.awaitsFirstPoll {
+		a.awaitsFirstPoll = true
+		e.firstPolls.waiting = append(e.firstPolls.waiting, a)
+	}
+	return false
+}
+
+// sendFirstPolls polls the agents that have waited for other first polls.
+func (e *Engine) sendFirstPolls() {
+	for len(e.firstPolls.waiting) > 0 && e.firstPolls.inFlight < maxFirstPolls {
+		a := e.firstPolls.waiting[0]
+		e.firstPolls.waiting = e.firstPolls.waiting[1:]
+		a.awaitsFirstPoll = false
+		if e.agents.byID[a.record.Id] == a {
+			e.reconcileAgent(a)
+		}
+	}
+}
+
 // pollPlan determines the next poll of an agent.
 type pollPlan struct {
 	wait  time.Duration // for a completion
--- a/internal/sched/drive/poll_test.go
+++ b/internal/sched/drive/poll_test.go
@@ -72,3 +72,16 @@
 	assert.Equal(t, j.State, wire.WorkState_WORK_STATE_COMPLETED)
 	assert.Equal(t, j.Record().Tasks[0].Run, uint32(1))
 }
+
+// Guards against a new leader that polls all agents at once, can't read the answers in time and
+// takes the agents for unreachable.
+func TestFirstPollsAreSpread(t *testing.T) {
+	const agents, limit = 1000, 400
+	s := newSim(1, agents, true, faults{lost: 0.1})
+	for answered, polling := 0, 0; answered < agents; answered, polling = s.engine.FirstPolls() {
+		assert.Assert(t, polling <= limit, "%d first polls in flight", polling)
+		assert.Assert(t, s.now < time.Minute, "%d of %d agents have answered", answered, agents)
+		s.run(simTick, 0)
+	}
+	assert.Equal(t, len(s.violations), 0, "%v", s.violations)
+}
--- a/internal/sched/drive/sync.go
+++ b/internal/sched/drive/sync.go
@@ -134,7 +134,7 @@
 // nextReconcileOf returns when the agent is due if no event occurs before.
 func (e *Engine) nextReconcileOf(a *agent) time.Duration {
 	due := e.now + idleReconcileInterval
-	if !a.polling {
+	if !a.polling && !a.awaitsFirstPoll {
 		due = min(due, max(a.nextPoll, e.now+reconcileInterval))
 	}
 	if a.failedPolls > 0 || a.record.Leaving || a.hasPendingOrders() {
