--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -184,6 +184,7 @@
 
 // SubmitWork commits a job.
 func (s *workService) SubmitWork(ctx context.Context, r *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error) {
+	receivedAt := s.clock.Now()
 	queue, id, err := s.resolveTarget(ctx, r.Target)
 	if err != nil {
 		return nil, err
@@ -205,7 +206,8 @@
 	if result.Err != nil {
 		response.Reason = result.Err.Error()
 	}
-	s.logger.Info("job submitted", "job", id, "queue", queue, "steps", len(r.Spec.Steps), "answer", response.Answer.String(), "reason", response.Reason)
+	s.logger.Info("job submitted", "job", id, "queue", queue, "steps", len(r.Spec.Steps), "answer", response.Answer.String(), "reason", response.Reason,
+		"took_ms", s.clock.Now().Sub(receivedAt).Milliseconds())
 	return response, nil
 }
 
--- a/scripts/starts.py
+++ b/scripts/starts.py
@@ -9,6 +9,7 @@
 Prints for each queue the number of jobs, and the 50th, 95th and 100th percentile of:
 
   entry      a submission at an entry, until the leader has answered it
+  commit of job  a submission at the leader, until it is committed
   submit     from the answer to the submission to the first placement, which may be earlier
   first      from the same to the first "stage started"
   ...        each part that "stage started" lines name
@@ -59,8 +60,10 @@
             if since <= at - e["took_ms"] / 1000 < until:
                 entries.append(e["took_ms"])
         elif msg == "job submitted" and "job" in e:
-            if since <= at < until:
-                jobs.setdefault(e["job"], (at, e["queue"]))
+            if since <= at < until and e["job"] not in jobs:
+                jobs[e["job"]] = (at, e["queue"])
+                if "took_ms" in e:
+                    parts[e["queue"]]["commit of job"].append(e["took_ms"])
         elif msg in ("runs placed", "stage started"):
             stage = (e["job"], e.get("occurrence", 0), e["step"])
             first = placed if msg == "runs placed" else started
