Connections to agents aren't opened and closed all the time at their limit

With 6,000 agents and 9,590 connections half of them could be held by waiting polls, whose agents need a second one for orders: 10,795 in all. Past the limit the idle connections of an arbitrary agent were closed, often its only one, which its next poll opens and verifies again.

--- a/internal/sched/drive/poll.go
+++ b/internal/sched/drive/poll.go
@@ -17,6 +17,8 @@
 	// longPollShare is the share of the connections to agents that waiting polls may
 	// occupy. The rest is for orders and for polls that don't wait.
 	longPollShare = 0.5
+	// minLongPollShare is the same where there are fewer connections than agents.
+	minLongPollShare = 0.1
 	// maxFirstPolls limits the polls in flight to agents that this leader hasn't polled
 	// before. An answer takes a few milliseconds, so more of them don't make a new leader
 	// faster. But with thousands at once it reads the answers only after their time limit,
@@ -90,7 +92,14 @@
 	return e.options.MaxConnections > 0 && len(e.agents.byID) > e.maxLongPolls()
 }
 
-func (e *Engine) maxLongPolls() int { return int(float64(e.options.MaxConnections) * longPollShare) }
+// maxLongPolls returns how many polls may wait at a time. Each agent keeps a connection, and
+// one whose poll waits needs another for orders. Beyond the limit connections would be
+// closed and opened all the time.
+func (e *Engine) maxLongPolls() int {
+	limit := float64(e.options.MaxConnections)
+	spare := max(limit-float64(len(e.agents.byID)), limit*minLongPollShare)
+	return int(min(spare, limit*longPollShare))
+}
 
 // expectsCompletion reports whether a run on the agent is going to end by itself.
 func (a *agent) expectsCompletion() bool {
