A leader sends a limited number of starts at a time

After all processes of the fleet had been killed, the leader sent the starts of thousands of tasks beside the polls of all agents. From 32 to 42 s some 270 starts a second reached their time limit of 0.6 s, probably because the leader read the answers too late; each was sent again, on a new connection since the old one is closed then. The leader did little else for 20 s: of what was asked from 34 to 42 s one of eight was in time.

At most 400 starts are now in flight; the others wait for their turn, and need the leader lease when it comes. A start takes some ten milliseconds, so that at 1,700 a second some 20 are in flight.

TestStartsInFlightAreLimited and TestWaitingStartNeedsTheLeaderLease.

--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -75,6 +75,7 @@
 		planner      *plan.Planner
 		platform     Platform
 		engine       *drive.Engine
+		orders       *orderSender
 		server       *grpc.Server
 		view         atomic.Pointer[view]
 		entries      entryTable
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	c.orders = newOrderSender(c.platform.SendOrder, c.node.HoldsLeaderLease)
 	c.engine = drive.New(drive.Options{
 		Graph: c.machine.Graph(), Propose: c.node.Propose,
 		IsLeader: c.engineLeads, HoldsLeaderLease: c.node.HoldsLeaderLease, Send: c.sendOrder, WallClock: time.Now,
@@ -107,17 +108,10 @@
 	return term, isLeader && c.engineTerm == term
 }
 
-// sendOrder sends an order to its agent in the background. The leader lease is checked
-// immediately before sending, so that a leader that was paused or partitioned doesn't
-// send orders along with the next one.
+// sendOrder sends an order to its agent in the background.
 func (c *Control) sendOrder(o drive.Order) {
 	go func() {
-		answer := drive.Answer{Order: o, Verdict: drive.NotSent, Detail: "no leader lease"}
-		if c.node.HoldsLeaderLease(o.Fence) {
-			calledAt := boot.Now()
-			answer = c.platform.SendOrder(context.Background(), o)
-			answer.Order, answer.CalledAt, answer.ReturnedAt = o, calledAt, boot.Now()
-		}
+		answer := c.orders.send(o)
 		c.node.Post(func() { c.engine.HandleAnswer(boot.Now(), answer) })
 	}()
 }
