Comments: reasons and figures that the rewording dropped are back

Constants of the deciding code, of the log and of the paths to it, compared before and after the rewording: eleven had lost a reason, a figure or a limit that still holds. No code changes.

--- a/internal/front/uplink/leader.go
+++ b/internal/front/uplink/leader.go
@@ -13,13 +13,14 @@
 )
 
 const (
-	// attemptTimeout bounds one attempt, so that an unresponsive connection doesn't use
-	// up the caller's time.
+	// attemptTimeout bounds one attempt, so that an unresponsive connection doesn't use up
+	// the caller's time. A commit takes some syncs of a disk, of 4 to 6 ms each.
 	attemptTimeout = 1 * time.Second
 	// retryInterval is the pause between attempts.
 	retryInterval = 25 * time.Millisecond
-	// electionWait bounds the wait for an election. Callers wait for 3 s in all, which
-	// leaves them time for another attempt.
+	// electionWait bounds the wait for an election. Callers wait for 3 s in all, which leaves
+	// them time for another attempt. From the loss of a leader to the next one most elections
+	// take 1.0 to 1.8 s.
 	electionWait = 1200 * time.Millisecond
 )
 
--- a/internal/run/ctrl/membership.go
+++ b/internal/run/ctrl/membership.go
@@ -18,7 +18,8 @@
 	maxMembers = 9
 	// voterTimeout is how long a voter may be unresponsive before a learner replaces it. It
 	// is longer than a restart, and short enough to replace the voter before the next loss
-	// that must be tolerated.
+	// that must be tolerated. Users count two losses one by one if the second comes 4 s after
+	// the first one's replacement.
 	voterTimeout = 3 * time.Second
 	// leaderTimeout is how long a member may be without a known leader before it asks to
 	// join again, in case it was removed.
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -28,7 +28,8 @@
 	unreachableDropAfter = 10 * time.Minute
 	// suspectAfter is how overdue an answer may be before the agent gets no new tasks.
 	suspectAfter = 400 * time.Millisecond
-	// refusalBackoff is how long an agent gets no new tasks after it refused a start.
+	// refusalBackoff is how long an agent gets no new tasks after it refused a start. It
+	// refuses for lack of resources or because it is unhealthy.
 	refusalBackoff = 300 * time.Millisecond
 	// reportGracePeriod is how long after an election every agent has reported its
 	// current capacity. Agents report every 1.1 s, and immediately if a report isn't
--- a/internal/sched/drive/estimates.go
+++ b/internal/sched/drive/estimates.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	// newSampleWeight is the weight of a new sample in the moving averages of an agent.
+	// newSampleWeight is the weight of a new sample in the moving averages of an agent. About
+	// the last eight runs decide.
 	newSampleWeight = 0.25
 	// failureCost is the cost, in run times, of an agent on which every run fails.
 	failureCost = 6.0
--- a/internal/sched/drive/rank.go
+++ b/internal/sched/drive/rank.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// lateFactor is how many times its objective a job may take before it counts as too
-	// late.
+	// lateFactor is how many times its objective a job may take before it counts as too late.
+	// Until then its end is still of some worth to the caller.
 	lateFactor = 3
 )
 
--- a/internal/sched/drive/utilization.go
+++ b/internal/sched/drive/utilization.go
@@ -12,7 +12,8 @@
 	// its request, until it is measured.
 	standingUseShare = 0.5
 	// maxUtilization is the CPU usage of an agent, as a share of its capacity, up to which
-	// opportunistic tasks are placed.
+	// opportunistic tasks are placed. Above about 1.2, tail latencies rise far beyond what
+	// the interference of known images explains.
 	maxUtilization = 1.0
 )
 
--- a/internal/sched/plan/health.go
+++ b/internal/sched/plan/health.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// quarantineFailures is the number of different jobs that a worker must fail in a row
-	// to be quarantined.
+	// quarantineFailures is the number of different jobs that a worker must fail in a row to
+	// be quarantined. A success in between starts the count anew.
 	quarantineFailures = 3
 )
 
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -25,8 +25,9 @@
 	maxBatchBytes   = 1 << 20
 	// maxInflightEntries limits the entries sent to a replica and not yet acknowledged.
 	maxInflightEntries = 16384
-	// maxInflightBytes limits their size. Without it, everything committed while a replica
-	// is unreachable would be queued for it in memory.
+	// maxInflightBytes limits their size. Without it, everything committed while a replica is
+	// unreachable would be queued for it in memory. Ten seconds of large configurations are
+	// some 250 MB, about a replica's whole memory.
 	maxInflightBytes = 4 << 20
 	// snapshotRetryHeartbeats is the number of heartbeats after which an unacknowledged
 	// snapshot is sent again.
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -22,7 +22,8 @@
 const (
 	// maxConfigurationHistory is the number of configuration versions kept.
 	maxConfigurationHistory = 200
-	// maxOperationHistory is the number of operation IDs kept to detect retries.
+	// maxOperationHistory is the number of operation IDs kept to detect retries. At 3,700
+	// changes a day they cover more than two days of retries.
 	maxOperationHistory = 10000
 	// defaultMaxFailures applies to job kinds that don't set MaxFailures.
 	defaultMaxFailures = 3
@@ -31,7 +32,8 @@
 	// cause, so the limit must not be reached by coincidence.
 	maxWorkerCrashes = 5
 	// crashWindow is the time after a job's start in which a lost worker counts as a crash.
-	// It covers some seconds of execution and the expiry of the worker's lease.
+	// It covers some seconds of execution and the expiry of the worker's lease. The lease is
+	// 4 s unless set otherwise.
 	crashWindow = 20 * time.Second
 )
 
