Inspections go to a second follower before the leader

The leader's loop was silent from 39.06 to 39.56 and from 39.63 to 40.13 s, and jobs took up to 1.2 s to be accepted: a follower that is busy for 0.4 s sent its entries to the leader, which then answered followers late, and so more of them.

A follower that doesn't answer in time is now followed by another one. Only one that says that it can't answer sends the entry to the leader at once.

TestBusyFollowerIsReplacedByAnother, whose second case asks the leader without the change. That this is the cause is suspected, not traced.

--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -8,6 +8,7 @@
 package uplink
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -471,24 +472,22 @@
 	return u.leaderAddress
 }
 
-// FollowerAddress returns the address of a responsive voter other than the leader, or "" if
-// there is none. Entries choose different ones, and each keeps its own while it responds.
-func (u *Uplink) FollowerAddress() string {
+// Followers returns the addresses of the responsive voters other than the leader, in the
+// order in which this entry prefers them. Entries prefer different ones.
+func (u *Uplink) Followers() []string {
 	now := u.options.Clock.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	var best string
-	var bestHash uint64
+	var followers []string
 	for _, m := range u.members() {
 		rs := u.replicas[m.Address]
-		if !m.Voter || m.Address == u.leaderAddress || rs.failedHellos > 0 || now.Sub(rs.receivedAt) > statusTTL {
-			continue
-		}
-		if h := xxhash.Sum64String(u.options.Self.EntryId + "\x00" + m.Address); best == "" || h > bestHash {
-			best, bestHash = m.Address, h
+		if m.Voter && m.Address != u.leaderAddress && rs.failedHellos == 0 && now.Sub(rs.receivedAt) <= statusTTL {
+			followers = append(followers, m.Address)
 		}
 	}
-	return best
+	preference := func(address string) uint64 { return xxhash.Sum64String(u.options.Self.EntryId + "\x00" + address) }
+	slices.SortFunc(followers, func(a, b string) int { return cmp.Compare(preference(a), preference(b)) })
+	return followers
 }
 
 // Leader returns a connection to the leader.
--- a/internal/front/uplink/uplink_test.go
+++ b/internal/front/uplink/uplink_test.go
@@ -94,16 +94,17 @@
 	assert.Assert(t, &before[0] == &f.uplink.Entries()[0])
 }
 
-// Guards against inspections that load the leader, or wait for a follower that doesn't respond.
-func TestFollowerAddress(t *testing.T) {
+// Guards against inspections that load the leader, wait for a follower that doesn't respond, or all
+// go to the same follower.
+func TestFollowers(t *testing.T) {
 	cases := []struct {
 		name string
 		lost []string
-		want []string // any of them
+		want []string
 	}{
 		{"all respond", nil, members[1:3]},
 		{"a follower is lost", members[1:2], members[2:3]},
-		{"all followers are lost", members[1:3], []string{""}},
+		{"all followers are lost", members[1:3], nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -113,7 +114,18 @@
 				f.receiveHello(a, members[0], 2)
 			}
 			f.lose(c.lost)
-			assert.Assert(t, slices.Contains(c.want, f.uplink.FollowerAddress()), "chose %q", f.uplink.FollowerAddress())
+			followers := f.uplink.Followers()
+			assert.DeepEqual(t, slices.Sorted(slices.Values(followers)), c.want)
 		})
 	}
+	t.Run("entries prefer different ones", func(t *testing.T) {
+		preferred := map[string]bool{}
+		for _, id := range []string{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			f := newFixture(t, len(members))
+			f.uplink.options.Self.EntryId = id
+			f.receiveHello(members[0], members[0], 2)
+			preferred[f.uplink.Followers()[0]] = true
+		}
+		assert.Assert(t, len(preferred) > 1, "all prefer %v", preferred)
+	})
 }
--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"sycamoredeck.example/internal/front/proxy"
@@ -25,9 +26,13 @@
 	workNotAtFollower = metrics.NewCounter("sycamoredeck_work_inspections_at_leader_total")
 )
 
-// followerTimeout is the time limit for a follower's answer. It leaves time to ask the
-// leader.
-const followerTimeout = 400 * time.Millisecond
+const (
+	// followerTimeout is the time limit for a follower's answer. It leaves time to ask
+	// another replica.
+	followerTimeout = 400 * time.Millisecond
+	// maxFollowersAsked is the number of followers that are tried before the leader.
+	maxFollowersAsked = 2
+)
 
 var errNoFollower = errors.New("entry: no follower responds")
 
@@ -98,7 +103,7 @@
 	}
 	p.Inspect = func(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
 		startedAt := e.clock.Now()
-		response, err := e.inspectAtFollower(ctx, r)
+		response, err := e.inspectAtFollowers(ctx, r)
 		if err != nil {
 			workNotAtFollower.Inc()
 			response, err = inspect(ctx, r)
@@ -111,13 +116,29 @@
 	return p
 }
 
-// inspectAtFollower inspects work at a replica other than the leader, which has enough to
+// inspectAtFollowers inspects work at replicas other than the leader, which has enough to
 // do.
-func (e *Entry) inspectAtFollower(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
-	address := e.uplink.FollowerAddress()
-	if address == "" {
-		return nil, errNoFollower
+func (e *Entry) inspectAtFollowers(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
+	return askFollowers(e.uplink.Followers(), func(address string) (*wire.InspectWorkResponse, error) {
+		return e.inspectAt(ctx, address, r)
+	})
+}
+
+// askFollowers returns the first answer of maxFollowersAsked followers. One that doesn't
+// answer in time may be busy, as the leader is then, so another one is asked; one that
+// can't answer says so at once, and the leader has to be asked.
+func askFollowers[R any](followers []string, ask func(address string) (R, error)) (R, error) {
+	var response R
+	err := errNoFollower
+	for _, address := range followers[:min(len(followers), maxFollowersAsked)] {
+		if response, err = ask(address); status.Code(err) != codes.DeadlineExceeded {
+			break
+		}
 	}
+	return response, err
+}
+
+func (e *Entry) inspectAt(ctx context.Context, address string, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
 	conn, err := e.pool.Conn(address)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/run/entry/work_test.go
@@ -0,0 +1,41 @@
+// This file defines tests of how inspections of work are sent to followers.
+
+package entry
+
+import (
+	"testing"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a burst of inspections that overloads the leader, because followers that are busy
+// with it don't answer in time.
+func TestBusyFollowerIsReplacedByAnother(t *testing.T) {
+	busy := status.Error(codes.DeadlineExceeded, "")
+	unable := status.Error(codes.Unavailable, "")
+	cases := []struct {
+		name      string
+		answers   []error // of the followers, in their order
+		wantAsked int
+		wantErr   error
+	}{
+		{"first answers", []error{nil, nil, nil}, 1, nil},
+		{"first is busy", []error{busy, nil, nil}, 2, nil},
+		{"first can't answer", []error{unable, nil, nil}, 1, unable},
+		{"all are busy", []error{busy, busy, busy}, maxFollowersAsked, busy},
+		{"no follower", nil, 0, errNoFollower},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			asked := 0
+			_, err := askFollowers(make([]string, len(c.answers)), func(string) (int, error) {
+				asked++
+				return 0, c.answers[asked-1]
+			})
+			assert.Equal(t, asked, c.wantAsked)
+			assert.Equal(t, err, c.wantErr)
+		})
+	}
+}
