Agents without runs are polled three times a lease

Where connections are too few for polls that wait, every agent was polled each 1.5 s, whatever ran there. With 6,000 agents these are up to 4,000 of the leader's some 4,500 calls a second. An agent without runs has no lease to lose and nothing to report; it is polled each third of a lease (3 s).

TestIdleAgentsArePolledRarely: 720 polls in two leases before, at most 420 now.

--- a/internal/sched/drive/poll.go
+++ b/internal/sched/drive/poll.go
@@ -14,6 +14,9 @@
 	// maxTailPollsPerSecond limits the polls of agents with latency targets, each of which
 	// costs the leader CPU time.
 	maxTailPollsPerSecond = 800
+	// idlePollsPerLease is how often an agent without runs is polled during a lease where
+	// polls don't wait. It has nothing to lose and nothing to report.
+	idlePollsPerLease = 3
 	// longPollShare is the share of the connections to agents that waiting polls may
 	// occupy. The rest is for orders and for polls that don't wait.
 	longPollShare = 0.5
@@ -70,9 +73,8 @@
 // agent, don't wait: they check whether the agent is there.
 //
 // A waiting poll occupies a connection. If there are too few connections for all agents,
-// only polls of agents with runs that end by themselves wait. The others are polled
-// equally often with a pause in between, during which other agents use the connection.
-// Otherwise agents that get no connection would seem unreachable and lose their leases.
+// only polls of agents with runs that end by themselves wait. The others are polled with
+// a pause in between, during which other agents use the connection. Otherwise agents that get no connection would seem unreachable and lose their leases.
 func (e *Engine) planPoll(a *agent) pollPlan {
 	interval := maxPollWait
 	switch {
@@ -84,6 +86,9 @@
 	if !e.connectionsLimited() || a.expectsCompletion() && e.longPolls < e.maxLongPolls() {
 		return pollPlan{wait: interval}
 	}
+	if len(a.sortedRuns) == 0 {
+		interval = max(interval, e.options.Lease/idlePollsPerLease)
+	}
 	return pollPlan{pause: interval}
 }
 
--- a/internal/sched/drive/poll_test.go
+++ b/internal/sched/drive/poll_test.go
@@ -85,3 +85,16 @@
 	}
 	assert.Equal(t, len(s.violations), 0, "%v", s.violations)
 }
+
+// Guards against a leader that spends its time on polls of agents on which nothing runs.
+func TestIdleAgentsArePolledRarely(t *testing.T) {
+	const agents = 60
+	s := newSim(1, agents, true, faults{})
+	s.maxConnections = agents / 2 // too few for polls that wait
+	s.depose()
+	s.run(6*time.Second, 0)
+	before := s.polls
+	s.run(2*modelLease, 0)
+	// Three times a lease, and once for an agent whose time has just come.
+	assert.Assert(t, s.polls-before <= agents*(2*3+1), "%d polls", s.polls-before)
+}
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -132,6 +132,7 @@
 		// maxConnections bounds the connections to agents; 0 is no limit. connectionsInUse
 		// counts the connections with an unanswered order.
 		maxConnections, connectionsInUse int
+		polls                            int // orders of this kind
 		// actualDurations hold the durations of jobs' tasks that differ from the declared ones.
 		actualDurations map[string]time.Duration
 	}
@@ -279,6 +280,9 @@
 // sendOrder delivers an order to its agent: immediately, seconds late, or without its answer.
 func (s *sim) sendOrder(order drive.Order) {
 	engine := s.engine
+	if order.Kind == drive.Poll {
+		s.polls++
+	}
 	timeout := answerTimeout + order.Wait
 	if s.maxConnections > 0 && s.connectionsInUse >= s.maxConnections {
 		s.after(time.Millisecond, func() { engine.HandleAnswer(s.now, drive.Answer{Order: order, Verdict: drive.NoConnection}) })
