--- a/internal/base/link/link_test.go
+++ b/internal/base/link/link_test.go
@@ -31,8 +31,8 @@
 	return &healthpb.HealthCheckResponse{Status: healthpb.HealthCheckResponse_SERVING}, nil
 }
 
-// serveCounting starts a server and returns it with its address.
-func serveCounting(t *testing.T) (*countingServer, string) {
+// connectToCounting starts a server and returns it with a link to it that isn't watched.
+func connectToCounting(t *testing.T) (*countingServer, *Link) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	counting := &countingServer{}
@@ -41,24 +41,23 @@
 	healthpb.RegisterHealthServer(server, counting)
 	go server.Serve(listener)
 	t.Cleanup(server.Stop)
-	return counting, listener.Addr().String()
+	l := &Link{address: listener.Addr().String()}
+	l.conn, err = l.connect()
+	assert.NilError(t, err)
+	t.Cleanup(func() { l.conn.Close() })
+	return counting, l
 }
 
 // Guards against pings on connections in use, which grow with the product of both sides' processes.
 func TestAnsweredCallsReplacePings(t *testing.T) {
-	server, address := serveCounting(t)
-	l := &Link{address: address}
-	conn, err := l.connect()
-	assert.NilError(t, err)
-	t.Cleanup(func() { conn.Close() })
-	l.conn = conn
+	server, l := connectToCounting(t)
 	check := func(wantPings int32) {
 		t.Helper()
 		assert.Assert(t, l.alive(t.Context()))
 		assert.Equal(t, server.pings.Load(), wantPings)
 	}
 	check(1)
-	_, err = wire.NewControlServiceClient(conn).Hello(t.Context(), &wire.HelloRequest{})
+	_, err := wire.NewControlServiceClient(l.conn).Hello(t.Context(), &wire.HelloRequest{})
 	assert.NilError(t, err)
 	check(1) // the hello was answered
 	check(2)
@@ -67,13 +66,8 @@
 
 // Guards against taking a call that failed for a sign that the connection works.
 func TestFailedCallsDontReplacePings(t *testing.T) {
-	server, address := serveCounting(t)
-	l := &Link{address: address}
-	conn, err := l.connect()
-	assert.NilError(t, err)
-	t.Cleanup(func() { conn.Close() })
-	l.conn = conn
-	_, err = wire.NewControlServiceClient(conn).FetchConfiguration(t.Context(), &wire.FetchConfigurationRequest{})
+	server, l := connectToCounting(t)
+	_, err := wire.NewControlServiceClient(l.conn).FetchConfiguration(t.Context(), &wire.FetchConfigurationRequest{})
 	assert.Assert(t, err != nil)
 	assert.Assert(t, l.alive(t.Context()))
 	assert.Equal(t, server.pings.Load(), int32(1))
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -252,6 +252,11 @@
 	if !n.Post(func() { f(); close(ran) }) {
 		return ErrStopped
 	}
+	return n.wait(ctx, ran)
+}
+
+// wait waits until a function that was posted has run.
+func (n *Node) wait(ctx context.Context, ran <-chan struct{}) error {
 	select {
 	case <-ran:
 		return nil
@@ -349,14 +354,7 @@
 	if !n.Post(enqueue) {
 		return ErrStopped
 	}
-	select {
-	case <-ran:
-		return nil
-	case <-n.done:
-		return ErrStopped
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return n.wait(ctx, ran)
 }
 
 // Step passes messages from another replica to the replicated log.
