The state of a job comes from the leader, counts from followers

A follower answers an inspection only when it has written the log up to the read index to its disk, some ten milliseconds or more after the leader. Clients wait for the states of their jobs; the bursts that kept the leader from its work are counts of pending jobs, and nobody waits for those.

TestJobsAreToldFromCounts. What the delay cost isn't measured by itself.

--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"path"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,14 +15,15 @@
 	"sycamoredeck.example/internal/front/proxy"
 	"sycamoredeck.example/internal/front/uplink"
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
 )
 
 var (
 	workAnswered   = metrics.NewCounter(`sycamoredeck_work_requests_total{outcome="answered"}`)
 	workUnanswered = metrics.NewCounter(`sycamoredeck_work_requests_total{outcome="unanswered"}`)
 	workSeconds    = metrics.NewHistogram("sycamoredeck_work_request_seconds")
-	// workNotAtFollower counts inspections that no follower answered; the leader is asked
-	// then.
+	// workNotAtFollower counts inspections of counts that no follower answered; the leader is
+	// asked then.
 	workNotAtFollower = metrics.NewCounter("sycamoredeck_work_inspections_at_leader_total")
 )
 
@@ -37,6 +39,9 @@
 	leader proxy.Leader
 }
 
+// inspectFunc inspects work at some replica.
+type inspectFunc func(context.Context, *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error)
+
 var _ wire.WorkServiceServer = (*workService)(nil)
 
 // SubmitWork forwards the call to the leader.
@@ -98,11 +103,7 @@
 	}
 	p.Inspect = func(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
 		startedAt := e.clock.Now()
-		response, err := e.inspectAtFollowers(ctx, r)
-		if err != nil {
-			workNotAtFollower.Inc()
-			response, err = inspect(ctx, r)
-		}
+		response, err := e.inspect(ctx, r, inspect)
 		if err != nil {
 			e.recordWork("inspect", r.Target, response.GetAnswer(), startedAt, err)
 		}
@@ -111,6 +112,27 @@
 	return p
 }
 
+// inspect returns the state of a job from the leader, or a queue's pending jobs from a
+// follower if one answers. A follower answers some milliseconds later, as it has to write
+// the log to its disk first, and clients wait for the states of their jobs. Counts are
+// inspected by all entries at once, which would keep the leader from its work.
+func (e *Entry) inspect(ctx context.Context, r *wire.InspectWorkRequest, atLeader inspectFunc) (*wire.InspectWorkResponse, error) {
+	if namesJob(r.Target) {
+		return atLeader(ctx, r)
+	}
+	response, err := e.inspectAtFollowers(ctx, r)
+	if err != nil {
+		workNotAtFollower.Inc()
+		response, err = atLeader(ctx, r)
+	}
+	return response, err
+}
+
+// namesJob reports whether the path of a target ends with the id of a job.
+func namesJob(target *wire.WorkTarget) bool {
+	return graph.CheckID(path.Base(target.GetPath())) == nil
+}
+
 // inspectAtFollowers inspects work at replicas other than the leader, which has enough to
 // do.
 func (e *Entry) inspectAtFollowers(ctx context.Context, r *wire.InspectWorkRequest) (*wire.InspectWorkResponse, error) {
--- a/internal/run/entry/work_test.go
+++ b/internal/run/entry/work_test.go
@@ -8,6 +8,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
 )
 
 // Guards against a burst of inspections that overloads the leader, because followers that are busy
@@ -37,3 +39,21 @@
 		})
 	}
 }
+
+// Guards against a client that waits longer for the state of its job, because a follower answers.
+func TestJobsAreToldFromCounts(t *testing.T) {
+	cases := []struct {
+		path string
+		want bool
+	}{
+		{"/q/0123456789abcdef", true},
+		{"/a/q/0123456789abcdef", true},
+		{"/q/", false},
+		{"/q/0123456789abcde", false},
+		{"/", false},
+		{"", false},
+	}
+	for _, c := range cases {
+		assert.Equal(t, namesJob(&wire.WorkTarget{Path: c.path}), c.want, "%q", c.path)
+	}
+}
