--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -62,6 +62,10 @@
 	if err != nil {
 		return err
 	}
+	enabled, err := drive.ParseOptionalFeatures(c.engineFeatures())
+	if err != nil {
+		return err
+	}
 	c.orders = newOrderSender(c.platform.SendOrder, c.node.HoldsLeaderLease)
 	c.engine = drive.New(drive.Options{
 		Graph: c.machine.Graph(), Propose: c.node.Propose,
@@ -69,7 +73,7 @@
 		Lease:           min(c.settings.AgentLease.AsDuration(), c.settings.MaxAgentLease.AsDuration()),
 		StopGrace:       c.settings.StopGrace.AsDuration(),
 		OtherRackFactor: c.settings.OtherRackFactor, MaxConnections: files.NewBudget(c.settings.MaxOpenFiles).Agents,
-		Advise: c.requestAdvice, Disabled: disabled, Logger: c.logger,
+		Advise: c.requestAdvice, Disabled: disabled, Enabled: enabled, Logger: c.logger,
 	})
 	c.machine.Graph().OnJobFinished = c.recordJobFinished
 	c.background.Go(c.retentionLoop)
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -71,11 +71,16 @@
 	divider  atomic.Pointer[slots.Divider]
 	draining atomic.Bool
 	closing  chan struct{}
+	features features
 }
 
 // Run serves until the context ends, and then drains.
 func Run(ctx context.Context, settings *wire.EntrySettings, logger *slog.Logger, platform Platform, reloads <-chan *wire.EntrySettings) error {
 	e := &Entry{platform: platform, reloads: reloads, settings: settings, logger: logger, clock: clockwork.NewRealClock(), closing: make(chan struct{})}
+	var err error
+	if e.features, err = parseFeatures(settings.SwitchedOn); err != nil {
+		return err
+	}
 	flush, err := spans.StartExport(ctx, "entry", settings.Common)
 	if err != nil {
 		return err
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -53,7 +53,9 @@
 		MaxConnections int
 		// Disabled are the features that are switched off.
 		Disabled map[Feature]bool
-		Logger   *slog.Logger
+		// Enabled are the optional features that are switched on.
+		Enabled map[Feature]bool
+		Logger  *slog.Logger
 	}
 
 	// Engine schedules jobs and drives the agents while this replica is the leader.
--- a/internal/sched/drive/features.go
+++ b/internal/sched/drive/features.go
@@ -8,11 +8,11 @@
 	"strings"
 )
 
-// Feature is a scheduling feature that can be switched off for ablation measurements. No
-// guarantee depends on a feature: all guarantees hold with every feature off.
+// Feature is a scheduling feature that can be switched off for ablation measurements, or an
+// optional one that can be switched on. No guarantee depends on a feature.
 type Feature string
 
-// Features.
+// Features that are on unless they are switched off.
 const (
 	// GroupSimilar places standing tasks with the same image on the same agents.
 	GroupSimilar Feature = "AlikeTogether"
@@ -37,18 +37,41 @@
 	PredictVariation Feature = "SwingForeseen"
 )
 
-// Features lists all features.
-var Features = []Feature{
-	GroupSimilar, HaltOpportunistic, ReserveForStanding, PersistEstimates, EstimateDurations, Migrate, ReserveForOrdinary, UsageBasedCapacity, PredictVariation,
+// Optional features, which are off unless they are switched on.
+const (
+	// AgentHealth quarantines agents that fail the runs of several jobs, and avoids slow
+	// agents.
+	AgentHealth Feature = "AgentHealth"
+	// FragmentationAware keeps free capacity in pieces of the sizes that ordinary work
+	// requests.
+	FragmentationAware Feature = "FragmentationAware"
+	// JobAdmission refuses jobs that can't be served in time.
+	JobAdmission Feature = "JobAdmission"
+)
+
+var (
+	// Features lists the features that are on unless they are switched off.
+	Features = []Feature{
+		GroupSimilar, HaltOpportunistic, ReserveForStanding, PersistEstimates, EstimateDurations, Migrate, ReserveForOrdinary, UsageBasedCapacity, PredictVariation,
+	}
+	// OptionalFeatures lists the features that are off unless they are switched on.
+	OptionalFeatures = []Feature{AgentHealth, FragmentationAware, JobAdmission}
+)
+
+// ParseFeatures parses names of features that can be switched off.
+func ParseFeatures(names []string) (map[Feature]bool, error) { return parseFeatures(names, Features) }
+
+// ParseOptionalFeatures parses names of features that can be switched on.
+func ParseOptionalFeatures(names []string) (map[Feature]bool, error) {
+	return parseFeatures(names, OptionalFeatures)
 }
 
-// ParseFeatures parses the names of features.
-func ParseFeatures(names []string) (map[Feature]bool, error) {
+func parseFeatures(names []string, valid []Feature) (map[Feature]bool, error) {
 	named := map[Feature]bool{}
 	for _, n := range names {
 		f := Feature(strings.TrimSpace(n))
-		if !slices.Contains(Features, f) {
-			return nil, fmt.Errorf("drive: unknown feature %q, valid features are %v", n, Features)
+		if !slices.Contains(valid, f) {
+			return nil, fmt.Errorf("drive: unknown feature %q, valid features are %v", n, valid)
 		}
 		named[f] = true
 	}
@@ -56,4 +79,9 @@
 }
 
 // enabled reports whether a feature is on.
-func (e *Engine) enabled(f Feature) bool { return !e.options.Disabled[f] }
+func (e *Engine) enabled(f Feature) bool {
+	if slices.Contains(OptionalFeatures, f) {
+		return e.options.Enabled[f]
+	}
+	return !e.options.Disabled[f]
+}
--- a/internal/sched/drive/reserve_test.go
+++ b/internal/sched/drive/reserve_test.go
@@ -79,6 +79,11 @@
 	assert.Assert(t, named[drive.HaltOpportunistic] && named[drive.Migrate] && !named[drive.ReserveForOrdinary])
 	_, err = drive.ParseFeatures([]string{"Hats"})
 	assert.ErrorContains(t, err, "Hats")
+	optional, err := drive.ParseOptionalFeatures([]string{"JobAdmission"})
+	assert.NilError(t, err)
+	assert.Assert(t, optional[drive.JobAdmission] && !optional[drive.AgentHealth])
+	_, err = drive.ParseOptionalFeatures([]string{"Halts"})
+	assert.ErrorContains(t, err, "Halts")
 }
 
 // Guards against a standing task that isn't placed on idle agents because capacity is reserved for
