Ordinary tasks avoid agents whose CPU is in use, which evict opportunistic runs

Cause: the cost of an agent for an ordinary task knew requests only, and nothing made room when the sum of the expected usages exceeded the agent's CPU.

Change: optional feature ContentionAware.

TestOrdinaryTasksAvoidContention and TestContentionEvictsOpportunisticRuns fail without it.

--- /dev/null
+++ b/internal/sched/drive/contention_test.go
@@ -0,0 +1,82 @@
+// This file defines the tests of CPU contention between ordinary and opportunistic work.
+
+package drive
+
+import (
+	"io"
+	"log/slog"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+)
+
+// contendedAgent returns an engine and an agent of ten cores with runs of the given steps.
+func contendedAgent(enabled bool, steps ...*wire.Step) (*Engine, *agent) {
+	e := New(Options{
+		Graph: graph.New(), Enabled: map[Feature]bool{ContentionAware: enabled}, IsLeader: func() (uint64, bool) { return 0, false },
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	e.now = time.Minute
+	a := &agent{record: &wire.Agent{Id: "a", CpuMillis: 10000, MemoryMb: 1000}, runs: map[*graph.Task]*run{}, dueIndex: notQueued, freeStale: true}
+	for i, step := range steps {
+		stage := &graph.Stage{Job: &graph.Job{Sequence: uint64(i)}, Step: step}
+		a.addRun(&run{task: &graph.Task{Stage: stage}, agent: a, phase: phaseRunning, cpuPercent: fullPercent, targetPercent: fullPercent})
+	}
+	return e, a
+}
+
+// Guards against a burst of ordinary tasks that lands on agents full of opportunistic work while
+// others have CPU unused, so that the tail latencies of standing tasks there rise.
+func TestOrdinaryTasksAvoidContention(t *testing.T) {
+	opportunistic := &wire.Step{CpuMillis: 10000, Opportunistic: true}
+	standing := &wire.Step{CpuMillis: 2000, Standing: true}
+	cases := []struct {
+		name       string
+		enabled    bool
+		prefersOff bool // prefers the agent without opportunistic work
+	}{
+		{"by requests", false, false},
+		{"by expected usage", true, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e, busy := contendedAgent(c.enabled, opportunistic)
+			_, free := contendedAgent(c.enabled, standing)
+			p := &pass{engine: e}
+			stage := &graph.Stage{Job: &graph.Job{}, Step: &wire.Step{CpuMillis: 5000}}
+			onBusy, onFree := p.cost(stage, e.freeResourcesOf(busy)), p.cost(stage, e.freeResourcesOf(free))
+			assert.Equal(t, onFree < onBusy, c.prefersOff, "%.2f beside opportunistic work, %.2f elsewhere", onBusy, onFree)
+		})
+	}
+}
+
+// Guards against opportunistic runs that stay on an agent where ordinary work needs the CPU.
+func TestContentionEvictsOpportunisticRuns(t *testing.T) {
+	ordinary := &wire.Step{CpuMillis: 8000}
+	checkpointable := &wire.Step{CpuMillis: 4000, Opportunistic: true, Checkpointable: true}
+	uncheckpointed := &wire.Step{CpuMillis: 4000, Opportunistic: true}
+	cases := []struct {
+		name    string
+		enabled bool
+		steps   []*wire.Step
+		want    []bool // evicted, by run
+	}{
+		{"latest first, until the rest fits", true, []*wire.Step{ordinary, checkpointable, checkpointable}, []bool{false, false, true}},
+		{"only with a checkpoint", true, []*wire.Step{ordinary, uncheckpointed, uncheckpointed}, []bool{false, false, false}},
+		{"within the capacity", true, []*wire.Step{ordinary, checkpointable}, []bool{false, false}},
+		{"switched off", false, []*wire.Step{ordinary, checkpointable, checkpointable}, []bool{false, false, false}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e, a := contendedAgent(c.enabled, c.steps...)
+			e.relieveContention(a)
+			for i, r := range a.sortedRuns {
+				assert.Equal(t, r.stopReason != "", c.want[i], "run %d", i)
+			}
+		})
+	}
+}
--- a/internal/sched/drive/features.go
+++ b/internal/sched/drive/features.go
@@ -42,6 +42,9 @@
 	// AgentHealth quarantines agents that fail the runs of several jobs, and avoids slow
 	// agents.
 	AgentHealth Feature = "AgentHealth"
+	// ContentionAware places ordinary tasks where CPU is unused, and evicts opportunistic
+	// runs from agents whose CPU is overcommitted.
+	ContentionAware Feature = "ContentionAware"
 	// FragmentationAware keeps free capacity in pieces of the sizes that ordinary work
 	// requests.
 	FragmentationAware Feature = "FragmentationAware"
@@ -55,7 +58,7 @@
 		GroupSimilar, HaltOpportunistic, ReserveForStanding, PersistEstimates, EstimateDurations, Migrate, ReserveForOrdinary, UsageBasedCapacity, PredictVariation,
 	}
 	// OptionalFeatures lists the features that are off unless they are switched on.
-	OptionalFeatures = []Feature{AgentHealth, FragmentationAware, JobAdmission}
+	OptionalFeatures = []Feature{AgentHealth, ContentionAware, FragmentationAware, JobAdmission}
 )
 
 // ParseFeatures parses names of features that can be switched off.
--- a/internal/sched/drive/latency.go
+++ b/internal/sched/drive/latency.go
@@ -78,6 +78,9 @@
 	if e.now-a.throttleChangedAt < minThrottleInterval {
 		return
 	}
+	if e.relieveContention(a) {
+		return
+	}
 	if worst := e.mostDegraded(a); worst != nil {
 		e.throttleColocated(worst)
 		return
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -11,14 +11,15 @@
 )
 
 var (
-	runsPlaced         = metrics.NewCounter("sycamoredeck_runs_placed_total")
-	runsEnded          = metrics.NewCounter(`sycamoredeck_runs_ended_total{outcome="all"}`)
-	agentsDropped      = metrics.NewCounter("sycamoredeck_agents_given_up_total")
-	runsLost           = metrics.NewCounter("sycamoredeck_runs_lost_with_agents_total")
-	pollsFailed        = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
-	runsEvicted        = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
-	opportunisticHalts = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
-	reportsIgnored     = metrics.NewCounter("sycamoredeck_agent_reports_ignored_total")
+	runsPlaced          = metrics.NewCounter("sycamoredeck_runs_placed_total")
+	runsEnded           = metrics.NewCounter(`sycamoredeck_runs_ended_total{outcome="all"}`)
+	agentsDropped       = metrics.NewCounter("sycamoredeck_agents_given_up_total")
+	runsLost            = metrics.NewCounter("sycamoredeck_runs_lost_with_agents_total")
+	pollsFailed         = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
+	runsEvicted         = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
+	contentionEvictions = metrics.NewCounter("sycamoredeck_contention_evictions_total")
+	opportunisticHalts  = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
+	reportsIgnored      = metrics.NewCounter("sycamoredeck_agent_reports_ignored_total")
 	// staleReports counts heartbeats of incarnations that were dropped or have a successor,
 	// completionsSkipped completions that were skipped by their number although their run is
 	// considered present.
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -277,5 +277,8 @@
 		}
 		return cost - similarityGain*similar - free.cpuMillis/max(free.capacityMillis, 1)
 	}
+	if p.engine.enabled(ContentionAware) {
+		cost += contentionCost * free.contention(defaultCPU(step))
+	}
 	return cost - 0.5*free.cpuMillis/max(free.capacityMillis, 1)
 }
--- a/internal/sched/drive/throttle.go
+++ b/internal/sched/drive/throttle.go
@@ -70,12 +70,17 @@
 
 // evictInterfering stops an opportunistic run so that it resumes on another agent.
 func (e *Engine) evictInterfering(r, standing *run) {
-	r.stopReason = "interferes with a standing run"
+	e.evict(r, "interferes with a standing run")
+	e.options.Logger.Info("interfering run evicted", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
+		"agent", r.agent.record.Id, "disturbed", standing.task.Stage.Job.ID, "tail_ms", standing.usage)
+}
+
+// evict stops a run so that it resumes on another agent.
+func (e *Engine) evict(r *run, reason string) {
+	r.stopReason = reason
 	e.markChanged(r.agent)
 	runsEvicted.Inc()
 	r.task.AvoidAgent = r.agent.record.Id
-	e.options.Logger.Info("interfering run evicted", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
-		"agent", r.agent.record.Id, "disturbed", standing.task.Stage.Job.ID, "tail_ms", standing.usage)
 }
 
 // interferenceOn returns how much a run currently adds to the utilization of a standing
