Quarantine of failing agents and moves off slow ones (AgentHealth)

An agent that fails every run within milliseconds is always free again and attracts ever more work, so that jobs fail with their attempts used up. The new package health weighs each failure by how unlikely it is for its job and queue, and the engine keeps agents with enough evidence in quarantine, with single runs as trials afterwards. It also detects slow agents by the progress of their runs.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -118,7 +118,7 @@
 
 // schedulable reports whether new tasks may be placed on the agent.
 func (e *Engine) schedulable(a *agent) bool {
-	return a.synced && !a.expiryCommitted && !a.record.Leaving && !a.dropping && !e.suspected(a) && e.now >= a.backoffUntil && e.capacityKnown(a) && !e.drained(a)
+	return a.synced && !a.expiryCommitted && !a.record.Leaving && !a.dropping && !e.suspected(a) && e.now >= a.backoffUntil && e.capacityKnown(a) && !e.drained(a) && !e.quarantined(a)
 }
 
 // drained reports whether the agent's failure domain accepts no new tasks.
@@ -277,6 +277,7 @@
 			continue
 		}
 		r.recordStatus(e.now, status)
+		e.recordSpeed(r)
 		if t.Stage.Step.TailTargetMs > 0 {
 			a.hasLatencyTargets = true
 		}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -90,6 +90,7 @@
 		placementPending bool
 		nextTimedCheck   time.Duration
 		estimates        estimates
+		health           agentHealth
 		tailModel        tails.Model
 		// ordinaryDemand is the recent peak demand of ordinary tasks by pool, in
 		// millicores.
@@ -203,6 +204,7 @@
 		e.commitUnreachable()
 		e.commitCrashReports()
 		e.saveEstimates()
+		e.checkHealth()
 	}
 	e.place()
 }
--- a/internal/sched/drive/estimates.go
+++ b/internal/sched/drive/estimates.go
@@ -55,13 +55,14 @@
 	return es.agents[id]
 }
 
-// expectedSlowdown returns the expected cost of a run on an agent, in normal run times.
-func (es *estimates) expectedSlowdown(id string) float64 {
+// expectedSlowdown returns the expected cost of a run on an agent, in normal run times. The
+// slowdown is at least minSlowdown.
+func (es *estimates) expectedSlowdown(id string, minSlowdown float64) float64 {
 	ae := es.agents[id]
 	if ae == nil {
-		return 1
+		return max(minSlowdown, 1)
 	}
-	return max(ae.slowdown, 0.5) + failureCost*ae.failureRate
+	return max(ae.slowdown, minSlowdown) + failureCost*ae.failureRate
 }
 
 func (ae *agentEstimate) recordResult(failed bool) {
@@ -80,6 +81,7 @@
 		return
 	}
 	ae := e.estimates.agent(a.record.Id)
+	e.recordHealth(r, outcome)
 	switch outcome {
 	case wire.RunOutcome_RUN_OUTCOME_DONE:
 		ae.recordResult(false)
--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -87,6 +87,9 @@
 	return nil
 }
 
+// QuarantinedAgents returns the ids of the agents in quarantine or on trial.
+func (e *Engine) QuarantinedAgents() []string { return e.health.tracker.IsolatedAgents() }
+
 // AgentsVisited returns how many agents all engines have examined.
 func AgentsVisited() uint64 { return agentsVisited.Get() }
 
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -24,7 +24,14 @@
 	// considered present.
 	staleReports       = metrics.NewCounter("sycamoredeck_agent_reports_overlooked_total")
 	completionsSkipped = metrics.NewCounter("sycamoredeck_run_ends_skipped_total")
-	runsStalled        = metrics.NewCounter("sycamoredeck_runs_stalled_total")
+	// quarantinesWithheld counts failures after which an agent wasn't quarantined because too
+	// many already were.
+	agentsQuarantined   = metrics.NewCounter("sycamoredeck_agents_quarantined_total")
+	quarantinesWithheld = metrics.NewCounter("sycamoredeck_agent_quarantines_withheld_total")
+	trialsPassed        = metrics.NewCounter(`sycamoredeck_agent_trials_total{outcome="passed"}`)
+	trialsFailed        = metrics.NewCounter(`sycamoredeck_agent_trials_total{outcome="failed"}`)
+	runsMoved           = metrics.NewCounter("sycamoredeck_runs_moved_off_slow_agents_total")
+	runsStalled         = metrics.NewCounter("sycamoredeck_runs_stalled_total")
 	// agentsVisited counts the agents that were examined outside of scheduling passes.
 	agentsVisited = metrics.NewCounter("sycamoredeck_agents_examined_total")
 	readyToStart  = metrics.NewHistogram("sycamoredeck_task_wait_seconds")
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -60,6 +60,11 @@
 		fullCPUMillis uint64
 		shrunkAt      time.Duration
 		failing       bool
+		// failsAfter is when a run on the failing agent fails, before it would by itself; 0
+		// means never.
+		failsAfter    time.Duration
+		slowdown      int      // of its runs; 0 and 1 mean none
+		started       []string // the tasks of all runs that it has started
 		sequence      uint64
 		nextHeartbeat time.Duration
 	}
@@ -173,6 +178,7 @@
 		return drive.RefusedCapacity
 	}
 	a.sim.checkStart(a, o)
+	a.started = append(a.started, key)
 	length := time.Duration(step.EstimateMs) * time.Millisecond
 	if actual, ok := a.sim.actualDurations[o.Run.Job]; ok {
 		length = actual
@@ -216,7 +222,7 @@
 	}
 	for _, k := range a.runKeys() {
 		run := a.runs[k]
-		run.work += step * time.Duration(run.cpuPercent) / 100
+		run.work += step * time.Duration(run.cpuPercent) / 100 / time.Duration(max(a.slowdown, 1))
 		if a.sim.runCrashesAgent(run) {
 			a.sim.crashByRun(a, run)
 			return
@@ -224,7 +230,7 @@
 		switch {
 		case run.stopAt != 0 && a.sim.now >= run.stopAt:
 			a.end(k, wire.RunOutcome_RUN_OUTCOME_STOPPED)
-		case run.fails && run.work > run.length/2:
+		case run.fails && (run.work > run.length/2 || a.failsAfter > 0 && run.work >= a.failsAfter):
 			a.end(k, wire.RunOutcome_RUN_OUTCOME_FAILED)
 		case run.work >= run.length && !run.step.Standing:
 			a.end(k, wire.RunOutcome_RUN_OUTCOME_DONE)
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -114,6 +114,10 @@
 			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "no longer needed before the start was sent")
 			continue
 		}
+		if !e.healthAllowsStart(a, t) {
+			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "agent has failed runs since the placement")
+			continue
+		}
 		e.start(r)
 	}
 }
@@ -257,7 +261,7 @@
 // run time on a healthy agent in the rack of its data.
 func (p *pass) cost(s *graph.Stage, free *freeResources) float64 {
 	step := s.Step
-	cost := p.engine.estimates.expectedSlowdown(free.agent.record.Id)
+	cost := p.engine.expectedSlowdown(free.agent.record.Id)
 	if step.DataRack != "" && step.DataRack != free.agent.record.Rack {
 		cost *= p.engine.options.OtherRackFactor
 	}
--- a/internal/sched/drive/resources.go
+++ b/internal/sched/drive/resources.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"sycamoredeck.example/internal/sched/health"
 	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
@@ -41,6 +42,10 @@
 		finalAttempt          bool
 		// reservedFor is the stage that the free resources are reserved for, or nil.
 		reservedFor *graph.Stage
+		// health is the state of the agent; always sound without AgentHealth. probes
+		// counts the runs that were placed during its trial.
+		health health.State
+		probes int
 	}
 
 	// latencyTask is a standing task with a latency target on an agent.
@@ -80,6 +85,7 @@
 		a.freeStale, a.freeAt = false, e.now
 	}
 	a.free.reservedFor = nil
+	e.updateHealth(&a.free)
 	return &a.free
 }
 
@@ -156,6 +162,7 @@
 	f.agent.freeStale = true
 	f.reserve(t.Stage)
 	f.recordCrashRisk(t, 0)
+	f.probes++
 	f.reclaimable -= defaultCPU(t.Stage.Step)
 }
 
@@ -204,6 +211,8 @@
 func (f *freeResources) fitsExceptCPU(s *graph.Stage) bool {
 	step := s.Step
 	switch {
+	case f.health != health.Sound && !f.healthAllows(s):
+		return false
 	case f.memoryMB < float64(step.MemoryMb) || f.accelerators < float64(step.Accelerators):
 		return false
 	case step.SpreadLimit > 0 && f.tasksByStage[s] >= int(step.SpreadLimit):
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -62,16 +62,19 @@
 	stopPending bool // a stop order is in flight
 	nextStop    time.Duration
 
-	checkpoint      string // the latest that the agent reported
-	progressPercent int
-	progressAt      time.Duration
-	usage           int // as RunStatus.Usage
-	usageAt         time.Duration
-	cpuPercent      int
-	targetPercent   int
-	throttlePending bool
-	nextThrottle    time.Duration
-	throttledAt     time.Duration // when cpuPercent last changed
+	checkpoint       string // the latest that the agent reported
+	progressPercent  int
+	progressAt       time.Duration
+	slowness         float64       // its run time relative to the expected one, by its progress; 0 if unknown
+	expectedDuration time.Duration // on a sound agent; 0 if not computed yet
+	moveTo           *agent        // where there was capacity for it when it was stopped as slow
+	usage            int           // as RunStatus.Usage
+	usageAt          time.Duration
+	cpuPercent       int
+	targetPercent    int
+	throttlePending  bool
+	nextThrottle     time.Duration
+	throttledAt      time.Duration // when cpuPercent last changed
 	// previousPercent is cpuPercent before its last change.
 	previousPercent int
 	baseline        tails.Baseline // of a standing run
--- a/internal/sched/drive/search.go
+++ b/internal/sched/drive/search.go
@@ -124,7 +124,7 @@
 		bestCost := math.Inf(1)
 		for i := range sr.ratings {
 			r := &sr.ratings[i]
-			cost := r.costOf(t)
+			cost := r.costOf(t) + sr.pass.healthCost(t, r.free)
 			if cost < bestCost || cost == bestCost && best != nil && r.index < best.index {
 				best, bestCost = r, cost
 			}
@@ -147,6 +147,9 @@
 		return math.Inf(1)
 	}
 	cost := r.cost + r.free.crashCost(t)
+	if t.AvoidAgent == id {
+		cost += movedCost
+	}
 	if t.LastFailedOn == id {
 		cost += repeatFailureCost
 	}
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -194,6 +194,19 @@
 	}
 }
 
+// AttemptsLeft returns how many more runs of a task, or of its gang, may fail before its job
+// does; false if failures don't count.
+func (g *Graph) AttemptsLeft(t *Task) (left uint32, limited bool) {
+	if t.Stage.Standing() {
+		return 0, false
+	}
+	if t.Stage.Step.Gang {
+		t = t.Stage.Tasks[0]
+	}
+	limit := g.maxAttempts(t.Stage.Job)
+	return limit - min(t.Failures, limit), true
+}
+
 func (g *Graph) maxAttempts(j *Job) uint32 {
 	if limit := g.queues[j.Queue].GetMaxAttempts(); limit > 0 {
 		return limit
