Speed by the latest progress, trials that end, and tests of agents' health

The mean speed since the start understates the slowness of an agent that became slow while a run was under way. A failure that is as likely as not no longer adds evidence: with only jobs that can't succeed, it kept agents suspect, and last attempts waited.

--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"maps"
 	"slices"
+
+	"sycamoredeck.example/internal/sched/health"
 )
 
 // FlushEnds proposes the pending run ends without a full tick.
@@ -90,6 +92,9 @@
 // QuarantinedAgents returns the ids of the agents in quarantine or on trial.
 func (e *Engine) QuarantinedAgents() []string { return e.health.tracker.IsolatedAgents() }
 
+// Health returns the state of an agent.
+func (e *Engine) Health(agent string) health.State { return e.health.tracker.State(e.now, agent) }
+
 // AgentsVisited returns how many agents all engines have examined.
 func AgentsVisited() uint64 { return agentsVisited.Get() }
 
--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -17,7 +17,7 @@
 	// progress of a run indicates its speed: the start takes a part of them, and progress
 	// is reported in whole percent.
 	minSpeedTime  = 300 * time.Millisecond
-	minSpeedShare = 0.25
+	minSpeedShare = 0.1
 	// probeCost is the cost, in run times, of using a task as a probe if it has two
 	// attempts left. With more it is less.
 	probeCost = 1.0
@@ -211,12 +211,14 @@
 		return
 	}
 	r.expectedDuration = e.expectedDuration(r)
-	elapsed := e.now - r.startedAt
+	elapsed := e.now - max(r.speedSince, r.startedAt)
 	expected := float64(elapsed) / float64(r.expectedDuration)
 	if elapsed < minSpeedTime || expected < minSpeedShare {
 		return
 	}
-	r.slowness = expected * fullPercent / max(float64(r.progressPercent), 0.5)
+	// The agent may have become slow while the run was under way.
+	r.slowness = expected * fullPercent / max(float64(r.progressPercent-r.speedFrom), 0.5)
+	r.speedFrom, r.speedSince = r.progressPercent, e.now
 	e.health.tracker.RecordProgress(e.now, healthAgent(r.agent), healthJob(r.task), r.slowness)
 }
 
@@ -237,7 +239,10 @@
 	}
 	if e.now >= e.health.nextPrune {
 		e.health.nextPrune = e.now + pruneInterval
-		e.health.tracker.Prune(e.now)
+		for _, id := range e.health.tracker.Prune(e.now) {
+			trialsUndecided.Inc()
+			e.options.Logger.Info("agent released from quarantine without a result of its trial", "agent", id)
+		}
 		for _, id := range e.health.tracker.IsolatedAgents() {
 			if e.agents.byID[id] == nil {
 				e.health.tracker.Forget(id)
--- a/internal/sched/drive/health_test.go
+++ b/internal/sched/drive/health_test.go
@@ -11,14 +11,31 @@
 	"gotest.tools/v3/assert"
 
 	"sycamoredeck.example/internal/sched/drive"
+	"sycamoredeck.example/internal/sched/health"
 	"sycamoredeck.example/internal/schema/wire"
 )
 
+// checkHealth checks that a start doesn't put a task's last attempt at risk, and that an agent on
+// trial gets one run at a time.
+func (s *sim) checkHealth(o drive.Order) {
+	if o.Kind != drive.Start || !s.checksHealth {
+		return
+	}
+	a, state := s.agents[o.Agent.Address], s.engine.Health(o.Agent.Id)
+	s.check(s.failures[taskKey(o.Run)] < 2 || state == health.Sound, "the last attempt of %s starts on an agent in state %d", taskKey(o.Run), state)
+	s.check(state != health.Quarantined, "%s starts in quarantine", taskKey(o.Run))
+	if state == health.Trial {
+		s.check(len(a.runs) == 0 && s.now > a.probedAt, "%s starts besides another run on trial", taskKey(o.Run))
+		a.probedAt = s.now
+	}
+}
+
 var withHealth = map[drive.Feature]bool{drive.AgentHealth: true}
 
 // overload submits jobs of different sizes at a rate per second, which is more than 12 agents
 // can take, and checks the number of agents in quarantine.
 func (s *sim) overload(length time.Duration, jobsPerSecond float64) {
+	s.checksHealth = true
 	due := 0.0
 	for end := s.now + length; s.now < end; {
 		for due += jobsPerSecond * simTick.Seconds(); due >= 1; due-- {
@@ -61,7 +78,7 @@
 func TestFailingAgentsDoNotFailJobs(t *testing.T) {
 	for i := range uint64(5) {
 		t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
-			s := newSim(i, 12, true, faults{enabled: withHealth})
+			s := newSim(i, 12, true, faults{enabled: withHealth, failedRun: 0.02})
 			s.run(2*time.Second, 0)
 			s.overload(2*time.Second, 50)
 			failing := s.fail(2)
@@ -80,3 +97,90 @@
 		})
 	}
 }
+
+// Guards against jobs that can never succeed and take all agents out of use, and against ones that
+// never end because no agent may take their last attempt.
+func TestFailingJobsDoNotQuarantinePool(t *testing.T) {
+	cases := []struct {
+		name  string
+		every int // of the jobs one in so many fails
+	}{{"all", 1}, {"half", 2}, {"a tenth", 10}}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(1, 12, true, faults{enabled: withHealth})
+			s.failingJobs = map[string]bool{}
+			for i := range 400 {
+				if i%c.every == 0 {
+					s.failingJobs[jobID(i+1)] = true
+				}
+			}
+			s.run(2*time.Second, 0)
+			s.overload(8*time.Second, 50)
+			s.run(12*time.Second, 0)
+			assert.Equal(t, s.countState(wire.WorkState_WORK_STATE_FAILED), len(s.failingJobs))
+			assert.Equal(t, s.countState(wire.WorkState_WORK_STATE_COMPLETED), len(s.jobs)-len(s.failingJobs))
+			assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
+		})
+	}
+}
+
+// Guards against a next leader that learns of the agents in quarantine only by their failures.
+func TestQuarantineIsHandedOver(t *testing.T) {
+	s := newSim(1, 12, true, faults{enabled: withHealth})
+	s.run(2*time.Second, 0)
+	failing := s.fail(3)
+	s.overload(6*time.Second, 50)
+	before := s.engine.QuarantinedAgents()
+	s.isLeader = false
+	s.engine.Tick(s.now)
+	s.elect()
+	s.run(simTick, 0)
+	assert.DeepEqual(t, s.engine.QuarantinedAgents(), before)
+	assert.Equal(t, len(before), len(failing))
+}
+
+// Guards against urgent work that is stuck on a slow agent while others have capacity, and against
+// runs that are moved again and again.
+func TestRunsAreMovedOffSlowAgent(t *testing.T) {
+	s := newSim(1, 8, true, faults{enabled: withHealth})
+	s.run(2*time.Second, 0)
+	slow := s.agents["10.0.0.3:1"]
+	for i := range 100 {
+		if i == 30 {
+			slow.slowdown = 8
+		}
+		s.submitJob(&wire.Step{Count: 2, CpuMillis: 2000, MemoryMb: 100, EstimateMs: 1000})
+		s.run(100*time.Millisecond, 0)
+	}
+	s.run(10*time.Second, 0)
+	var longest time.Duration
+	var runs uint32
+	for _, id := range s.jobs {
+		j := s.graph.Job(id)
+		assert.Equal(t, j.State, wire.WorkState_WORK_STATE_COMPLETED)
+		longest = max(longest, j.EndedAt.Sub(j.AcceptedAt))
+		for _, tk := range j.Occurrences[0][0].Tasks {
+			runs = max(runs, tk.Run)
+		}
+	}
+	t.Logf("longest job %v, most runs %d, on the slow agent %d", longest, runs, len(slow.started))
+	assert.Assert(t, longest < 5*time.Second, "a job took %v", longest)
+	assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
+}
+
+// Guards against tasks that run twice or never because of quarantines and moves, with the faults
+// of the other simulations.
+func TestAgentHealthUnderFaults(t *testing.T) {
+	for i := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
+			t.Parallel()
+			s := newSim(i, 8, true, faults{enabled: withHealth, leaderChange: 0.001, late: 0.03, lost: 0.03, crash: 0.002, partition: 0.003, leave: 0.001, cancel: 0.002, permanentLoss: 0.001, failedRun: 0.02, failingAgent: 0.2})
+			s.agents["10.0.0.1:1"].slowdown = 8
+			s.run(30*time.Second, 2)
+			for _, a := range s.agents {
+				a.slowdown = 0
+			}
+			assertJobsEnd(t, i, s)
+		})
+	}
+}
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -30,6 +30,7 @@
 	quarantinesWithheld = metrics.NewCounter("sycamoredeck_agent_quarantines_withheld_total")
 	trialsPassed        = metrics.NewCounter(`sycamoredeck_agent_trials_total{outcome="passed"}`)
 	trialsFailed        = metrics.NewCounter(`sycamoredeck_agent_trials_total{outcome="failed"}`)
+	trialsUndecided     = metrics.NewCounter(`sycamoredeck_agent_trials_total{outcome="undecided"}`)
 	runsMoved           = metrics.NewCounter("sycamoredeck_runs_moved_off_slow_agents_total")
 	runsStalled         = metrics.NewCounter("sycamoredeck_runs_stalled_total")
 	// agentsVisited counts the agents that were examined outside of scheduling passes.
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -63,8 +63,9 @@
 		// failsAfter is when a run on the failing agent fails, before it would by itself; 0
 		// means never.
 		failsAfter    time.Duration
-		slowdown      int      // of its runs; 0 and 1 mean none
-		started       []string // the tasks of all runs that it has started
+		probedAt      time.Duration // when its latest run on trial was ordered
+		slowdown      int           // of its runs; 0 and 1 mean none
+		started       []string      // the tasks of all runs that it has started
 		sequence      uint64
 		nextHeartbeat time.Duration
 	}
@@ -185,7 +186,7 @@
 	}
 	a.runs[key] = &modelRun{
 		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, cpuPercent: 100, startedAt: a.sim.now,
-		fails: a.failing || a.sim.random.Float64() < a.sim.faults.failedRun,
+		fails: a.failing || a.sim.failingJobs[o.Run.Job] || a.sim.random.Float64() < a.sim.faults.failedRun,
 	}
 	if a.sim.runCrashesAgent(a.runs[key]) {
 		a.sim.crashByRun(a, a.runs[key])
--- a/internal/sched/drive/move.go
+++ b/internal/sched/drive/move.go
@@ -48,7 +48,7 @@
 func (e *Engine) moveOf(r *run) health.Move {
 	progress := float64(r.progressPercent) / fullPercent
 	m := health.Move{
-		Elapsed: r.confirmedAt - r.startedAt, Progress: progress,
+		Slowness: r.slowness, Progress: progress,
 		Expected: r.expectedDuration, Restart: e.options.StopGrace + moveOverhead,
 	}
 	if r.checkpoint != "" && r.task.Stage.Step.Checkpointable {
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -62,10 +62,13 @@
 	stopPending bool // a stop order is in flight
 	nextStop    time.Duration
 
-	checkpoint       string // the latest that the agent reported
-	progressPercent  int
-	progressAt       time.Duration
-	slowness         float64       // its run time relative to the expected one, by its progress; 0 if unknown
+	checkpoint      string // the latest that the agent reported
+	progressPercent int
+	progressAt      time.Duration
+	slowness        float64 // its run time relative to the expected one, by its latest progress; 0 if unknown
+	// speedFrom and speedSince are the progress from which slowness is measured next.
+	speedFrom        int
+	speedSince       time.Duration
 	expectedDuration time.Duration // on a sound agent; 0 if not computed yet
 	moveTo           *agent        // where there was capacity for it when it was stopped as slow
 	usage            int           // as RunStatus.Usage
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -120,9 +120,13 @@
 		crashReports int // committed commands with crash reports
 		// undetectedCrashes is set while crashes close no connections.
 		undetectedCrashes bool
+		// failingJobs are the jobs of which all runs fail.
+		failingJobs map[string]bool
 		// failedRuns counts the failed runs of a task, acknowledged or not.
 		failedRuns map[string]int
 		logger     *slog.Logger
+		// checksHealth makes checkHealth check starts. It requires that no orders are lost.
+		checksHealth bool
 
 		doneAcked  map[string]bool
 		failures   map[string]int
@@ -290,6 +294,7 @@
 		s.after(time.Millisecond, func() { engine.HandleAnswer(s.now, drive.Answer{Order: order, Verdict: drive.NoConnection}) })
 		return
 	}
+	s.checkHealth(order)
 	s.connectionsInUse++
 	answered := false
 	answer := func(a drive.Answer) {
--- a/internal/sched/health/health.go
+++ b/internal/sched/health/health.go
@@ -109,8 +109,8 @@
 	// suspectThreshold is the evidence of one failure in a queue where a fifth of the runs
 	// fail.
 	suspectThreshold = 1.5
-	// trialEvidence is the evidence at the start of a trial. It makes one failed probe
-	// enough unless the failure was likely.
+	// trialEvidence is the evidence at the start of a trial, and after a quarantine was
+	// withheld. It makes one more failure enough unless the failure was likely.
 	trialEvidence = 3.0
 	// evidenceHalfLife limits how long an agent without further runs stays suspect. It is
 	// shorter than objectives of a few seconds, since tasks with one attempt left may have
@@ -122,6 +122,9 @@
 	// agents last some seconds.
 	firstQuarantine = time.Second
 	maxQuarantine   = 8 * time.Second
+	// maxTrial is how long a trial takes at most. Without suitable tasks, or if all probes
+	// fail through no fault of the agent, it has no result.
+	maxTrial = 10 * time.Second
 	// maxIsolatedShare is the share of a pool's agents that may be in quarantine or on
 	// trial. If more seem to fail, the agents aren't the cause.
 	maxIsolatedShare = 0.25
@@ -150,7 +153,10 @@
 		return Unchanged
 	}
 	a.recordFailure(now, job, outcome, rate)
-	q.add(1)
+	if a.streak.queues[job.Queue] < maxStreakTally {
+		a.streak.queues[job.Queue]++
+		q.add(1)
+	}
 	if a.evidence < quarantineThreshold {
 		return Unchanged
 	}
@@ -159,7 +165,7 @@
 
 func (a *agentRecord) recordSuccess(now time.Duration, outcome Outcome, rate float64) Change {
 	if a.isolated {
-		a.isolated, a.failedTrials, a.evidence, a.streak = false, 0, 0, streak{}
+		a.release()
 		return Released
 	}
 	a.decay(now)
@@ -171,6 +177,10 @@
 	return Unchanged
 }
 
+func (a *agentRecord) release() {
+	a.isolated, a.failedTrials, a.evidence, a.streak = false, 0, 0, streak{}
+}
+
 func (a *agentRecord) recordFailure(now time.Duration, job Job, outcome Outcome, rate float64) {
 	a.decay(now)
 	st := &a.streak
@@ -180,7 +190,6 @@
 	st.startedAt = min(st.startedAt, outcome.StartedAt)
 	a.evidence += failureEvidence(rate) * math.Pow(repeatWeight, float64(st.jobs[job.ID]))
 	st.jobs[job.ID]++
-	st.queues[job.Queue]++
 }
 
 // decay updates the evidence to a time. Evidence of a trial doesn't decay, as the agent may
@@ -208,7 +217,7 @@
 		a.failedTrials++
 		change = TrialFailed
 	case !t.mayIsolate(a.agent.Pool):
-		a.evidence = quarantineThreshold
+		a.evidence = trialEvidence
 		return Withheld
 	}
 	// The failures were the agent's, so they no longer count against the queues.
@@ -298,13 +307,22 @@
 	a.until = min(until, now+maxQuarantine)
 }
 
-// Prune removes what is too old to matter. It is to be called about once a second.
-func (t *Tracker) Prune(now time.Duration) {
+// Prune removes what is too old to matter, and returns the agents whose trial has ended
+// without a result, sorted. It is to be called about once a second.
+func (t *Tracker) Prune(now time.Duration) (released []string) {
 	maps.DeleteFunc(t.jobs, func(_ string, j *jobRecord) bool { return now-j.seenAt > retention })
-	maps.DeleteFunc(t.agents, func(_ string, a *agentRecord) bool {
+	for id, a := range t.agents {
+		if a.isolated && now-a.until > maxTrial {
+			a.release()
+			released = append(released, id)
+		}
 		a.updateSlowdown(now)
-		return now-a.seenAt > retention
-	})
+		if now-a.seenAt > retention {
+			delete(t.agents, id)
+		}
+	}
+	slices.Sort(released)
+	return released
 }
 
 // Forget removes an agent.
--- a/internal/sched/health/rates.go
+++ b/internal/sched/health/rates.go
@@ -27,6 +27,9 @@
 	// jobPriorRuns is the weight of the queue's failure rate for a job, in runs. After one
 	// failure elsewhere, a second one is about as likely as not.
 	jobPriorRuns = 1
+	// maxStreakTally limits how many failures of one streak count for a queue. Otherwise an
+	// agent that fails all its runs but isn't isolated would raise the queue's rate.
+	maxStreakTally = 10
 	// maxTalliedRuns is the number of runs after which earlier ones are halved in weight.
 	maxTalliedRuns = 400
 )
@@ -57,8 +60,14 @@
 )
 
 // failureEvidence returns the log-likelihood ratio of a failure that has the given
-// probability on a sound agent.
-func failureEvidence(rate float64) float64 { return max(math.Log(failingRate/rate), 0) }
+// probability on a sound agent. A failure that was as likely as not counts nothing: many of
+// them would add up on agents that are given only jobs which can't succeed.
+func failureEvidence(rate float64) float64 {
+	if rate >= 0.5 {
+		return 0
+	}
+	return math.Log(failingRate / rate)
+}
 
 // successEvidence returns the log-likelihood ratio of a success. It is negative.
 func successEvidence(rate float64) float64 { return math.Log((1 - failingRate) / (1 - rate)) }
--- a/internal/sched/health/speed.go
+++ b/internal/sched/health/speed.go
@@ -47,9 +47,9 @@
 	// Move is the choice between leaving a run on a slow agent and starting it again on
 	// another one.
 	Move struct {
-		// Elapsed is the time in which the run made Progress, from 0 to 1.
-		Elapsed  time.Duration
-		Progress float64
+		// Slowness is the actual run time relative to the expected one, Progress that of the
+		// run, from 0 to 1.
+		Slowness, Progress float64
 		// Saved is the progress that a start elsewhere resumes from.
 		Saved float64
 		// Expected is the run time on a sound agent, and Restart the time until the run
@@ -142,11 +142,7 @@
 
 // Worthwhile reports whether the run ends clearly sooner by a start elsewhere.
 func (m Move) Worthwhile() bool {
-	if m.Elapsed <= 0 {
-		return false
-	}
-	speed := max(m.Progress, 0.005) / float64(m.Elapsed) // progress is reported in whole percent
-	here := (1 - m.Progress) / speed
+	here := float64(m.Expected) * (1 - m.Progress) * min(m.Slowness, maxRatio)
 	elsewhere := float64(m.Restart) + float64(m.Expected)*(1-m.Saved)
 	return here > elsewhere*moveMargin
 }
