--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -210,10 +210,13 @@
 	if !e.enabled(AgentHealth) || !e.indicatesSpeed(r) || r.progressPercent >= fullPercent {
 		return
 	}
-	r.expectedDuration = e.expectedDuration(r)
 	elapsed := e.now - max(r.speedSince, r.startedAt)
+	if elapsed < minSpeedTime {
+		return
+	}
+	r.expectedDuration = e.expectedDuration(r)
 	expected := float64(elapsed) / float64(r.expectedDuration)
-	if elapsed < minSpeedTime || expected < minSpeedShare {
+	if expected < minSpeedShare {
 		return
 	}
 	// The agent may have become slow while the run was under way.
--- a/internal/sched/drive/health_test.go
+++ b/internal/sched/drive/health_test.go
@@ -176,19 +176,22 @@
 // moves of gangs, standing and opportunistic tasks.
 func TestTasksAreMovedOnce(t *testing.T) {
 	s := newSim(1, 8, true, faults{enabled: withHealth})
+	s.noCheckpoints = true
 	s.run(2*time.Second, 0)
 	s.submitJob(&wire.Step{Count: 4, CpuMillis: 1000, MemoryMb: 100, EstimateMs: 4000, Standing: true})
-	for i := range 120 {
+	for i := range 24 {
+		s.submitJob(&wire.Step{Count: 2, CpuMillis: 800, MemoryMb: 100, EstimateMs: 8000, Gang: i%4 == 0, Opportunistic: i%4 == 1})
+	}
+	for i := range 4 { // the agents that are slow change every 4 s
 		for k, address := range sortedKeys(s.agents) {
 			s.agents[address].slowdown = 1
-			if k%4 == i/30%4 {
+			if k < 6 && (k < 3) == (i%2 == 0) {
 				s.agents[address].slowdown = 8
 			}
 		}
-		s.submitJob(&wire.Step{Count: 1, CpuMillis: 800, MemoryMb: 100, EstimateMs: 5000, Gang: i%4 == 0, Opportunistic: i%4 == 1})
-		s.run(100*time.Millisecond, 0)
+		s.run(4*time.Second, 0)
 	}
-	s.run(40*time.Second, 0)
+	s.run(60*time.Second, 0)
 	runs, moved := map[string]int{}, 0
 	for _, a := range s.agents {
 		for _, key := range a.started {
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -136,7 +136,7 @@
 	for _, k := range a.runKeys() {
 		run := a.runs[k]
 		percent := min(int(100*run.work/max(run.length, 1)), 100)
-		status := drive.RunStatus{Run: run.id, ProgressPercent: percent, Checkpoint: "saved", Usage: int(run.step.CpuMillis)}
+		status := drive.RunStatus{Run: run.id, ProgressPercent: percent, Checkpoint: a.sim.checkpoint(), Usage: int(run.step.CpuMillis)}
 		switch {
 		case run.step.TailTargetMs > 0:
 			status.Usage = a.sim.tailLatencyOf(a, run)
@@ -255,10 +255,17 @@
 	delete(a.runs, key)
 	a.closed[key] = max(a.closed[key], run.id.Run)
 	a.number++
-	a.completions = append(a.completions, drive.Completion{Number: a.number, Run: run.id, Outcome: outcome, Checkpoint: "saved"})
+	a.completions = append(a.completions, drive.Completion{Number: a.number, Run: run.id, Outcome: outcome, Checkpoint: a.sim.checkpoint()})
 	a.sim.runEnded(run, outcome)
 }
 
+func (s *sim) checkpoint() string {
+	if s.noCheckpoints {
+		return ""
+	}
+	return "saved"
+}
+
 func (a *modelAgent) runKeys() []string {
 	keys := make([]string, 0, len(a.runs))
 	for k := range a.runs {
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -127,6 +127,8 @@
 		logger     *slog.Logger
 		// checksHealth makes checkHealth check starts. It requires that no orders are lost.
 		checksHealth bool
+		// noCheckpoints makes runs save no checkpoints.
+		noCheckpoints bool
 
 		doneAcked  map[string]bool
 		failures   map[string]int
