--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -60,6 +60,12 @@
 		fullCPUMillis uint64
 		shrunkAt      time.Duration
 		failing       bool
+		// failsAfter is when a run on the failing agent fails, before it would by itself; 0
+		// means never.
+		failsAfter    time.Duration
+		probedAt      time.Duration // when its latest run on trial was ordered
+		slowdown      int           // of its runs; 0 and 1 mean none
+		started       []string      // the tasks of all runs that it has started
 		sequence      uint64
 		nextHeartbeat time.Duration
 	}
@@ -130,7 +136,7 @@
 	for _, k := range a.runKeys() {
 		run := a.runs[k]
 		percent := min(int(100*run.work/max(run.length, 1)), 100)
-		status := drive.RunStatus{Run: run.id, ProgressPercent: percent, Checkpoint: "saved", Usage: int(run.step.CpuMillis)}
+		status := drive.RunStatus{Run: run.id, ProgressPercent: percent, Checkpoint: a.sim.checkpoint(), Usage: int(run.step.CpuMillis)}
 		switch {
 		case run.step.TailTargetMs > 0:
 			status.Usage = a.sim.tailLatencyOf(a, run)
@@ -173,13 +179,14 @@
 		return drive.RefusedCapacity
 	}
 	a.sim.checkStart(a, o)
+	a.started = append(a.started, key)
 	length := time.Duration(step.EstimateMs) * time.Millisecond
 	if actual, ok := a.sim.actualDurations[o.Run.Job]; ok {
 		length = actual
 	}
 	a.runs[key] = &modelRun{
 		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, cpuPercent: 100, startedAt: a.sim.now,
-		fails: a.failing || a.sim.random.Float64() < a.sim.faults.failedRun,
+		fails: a.failing || a.sim.failingJobs[o.Run.Job] || a.sim.random.Float64() < a.sim.faults.failedRun,
 	}
 	if a.sim.runCrashesAgent(a.runs[key]) {
 		a.sim.crashByRun(a, a.runs[key])
@@ -216,7 +223,7 @@
 	}
 	for _, k := range a.runKeys() {
 		run := a.runs[k]
-		run.work += step * time.Duration(run.cpuPercent) / 100
+		run.work += step * time.Duration(run.cpuPercent) / 100 / time.Duration(max(a.slowdown, 1))
 		if a.sim.runCrashesAgent(run) {
 			a.sim.crashByRun(a, run)
 			return
@@ -224,7 +231,7 @@
 		switch {
 		case run.stopAt != 0 && a.sim.now >= run.stopAt:
 			a.end(k, wire.RunOutcome_RUN_OUTCOME_STOPPED)
-		case run.fails && run.work > run.length/2:
+		case run.fails && (run.work > run.length/2 || a.failsAfter > 0 && run.work >= a.failsAfter):
 			a.end(k, wire.RunOutcome_RUN_OUTCOME_FAILED)
 		case run.work >= run.length && !run.step.Standing:
 			a.end(k, wire.RunOutcome_RUN_OUTCOME_DONE)
@@ -248,10 +255,17 @@
 	delete(a.runs, key)
 	a.closed[key] = max(a.closed[key], run.id.Run)
 	a.number++
-	a.completions = append(a.completions, drive.Completion{Number: a.number, Run: run.id, Outcome: outcome, Checkpoint: "saved"})
+	a.completions = append(a.completions, drive.Completion{Number: a.number, Run: run.id, Outcome: outcome, Checkpoint: a.sim.checkpoint()})
 	a.sim.runEnded(run, outcome)
 }
 
+func (s *sim) checkpoint() string {
+	if s.noCheckpoints {
+		return ""
+	}
+	return "saved"
+}
+
 func (a *modelAgent) runKeys() []string {
 	keys := make([]string, 0, len(a.runs))
 	for k := range a.runs {
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -65,13 +65,19 @@
 	checkpoint      string // the latest that the agent reported
 	progressPercent int
 	progressAt      time.Duration
-	usage           int // as RunStatus.Usage
-	usageAt         time.Duration
-	cpuPercent      int
-	targetPercent   int
-	throttlePending bool
-	nextThrottle    time.Duration
-	throttledAt     time.Duration // when cpuPercent last changed
+	slowness        float64 // its run time relative to the expected one, by its latest progress; 0 if unknown
+	// speedFrom and speedSince are the progress from which slowness is measured next.
+	speedFrom        int
+	speedSince       time.Duration
+	expectedDuration time.Duration // on a sound agent; 0 if not computed yet
+	moveTo           *agent        // where there was capacity for it when it was stopped as slow
+	usage            int           // as RunStatus.Usage
+	usageAt          time.Duration
+	cpuPercent       int
+	targetPercent    int
+	throttlePending  bool
+	nextThrottle     time.Duration
+	throttledAt      time.Duration // when cpuPercent last changed
 	// previousPercent is cpuPercent before its last change.
 	previousPercent int
 	baseline        tails.Baseline // of a standing run
