--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -48,6 +48,15 @@
 	Traced bool
 	// SourceIP is the local IP address of connections. The system chooses it if empty.
 	SourceIP string
+	// Now is the clock by which probes judge the age of answers; time.Now if nil.
+	Now func() time.Time
+}
+
+func (o Options) now() time.Time {
+	if o.Now == nil {
+		return time.Now()
+	}
+	return o.Now()
 }
 
 // Link is a connection to one address that is replaced when it stops responding.
@@ -58,6 +67,7 @@
 	done    chan struct{}
 	// answered is set when a call on the connection is answered.
 	answered atomic.Bool
+	evidence evidence
 
 	mu   sync.Mutex
 	conn *grpc.ClientConn
@@ -119,9 +129,12 @@
 // on pings.
 func (l *Link) alive(ctx context.Context) bool { return l.answered.Swap(false) || l.ping(ctx) }
 
-// recordAnswer notes each answered call except pings.
+// recordAnswer notes each answered call; for the checks of the connection, except pings.
 func (l *Link) recordAnswer(ctx context.Context, method string, request, response any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
-	err := invoke(ctx, method, request, response, conn, options...)
+	err := invokeRecorded(ctx, method, request, response, conn, invoke, options)
+	if err == nil && conn == l.Conn() {
+		l.evidence.recordAnswer(conn, l.options.now())
+	}
 	if err == nil && method != healthpb.Health_Check_FullMethodName {
 		l.answered.Store(true)
 	}
@@ -191,13 +204,22 @@
 
 // Conn returns the current connection to address, and dials it if necessary.
 func (p *Pool) Conn(address string) (*grpc.ClientConn, error) {
+	l, err := p.link(address)
+	if err != nil {
+		return nil, err
+	}
+	return l.Conn(), nil
+}
+
+// link returns the link to address, and dials it if necessary.
+func (p *Pool) link(address string) (*Link, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
 	if l := p.links[address]; l != nil {
-		return l.Conn(), nil
+		return l, nil
 	}
 	l, err := Dial(address, p.Options)
 	if err != nil {
@@ -207,7 +229,7 @@
 		p.links = map[string]*Link{}
 	}
 	p.links[address] = l
-	return l.Conn(), nil
+	return l, nil
 }
 
 // Retain closes the links to all other addresses.
--- a/internal/front/uplink/leader.go
+++ b/internal/front/uplink/leader.go
@@ -4,12 +4,17 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+
+	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/front/retry"
 )
 
 const (
@@ -18,14 +23,30 @@
 	attemptTimeout = 1 * time.Second
 	// retryInterval is the pause between attempts.
 	retryInterval = 25 * time.Millisecond
-	// electionWait bounds the wait for an election. Callers wait for 3 s in all, which leaves
-	// them time for another attempt. From the loss of a leader to the next one most elections
-	// take 1.0 to 1.8 s.
-	electionWait = 1200 * time.Millisecond
+	electionWait  = retry.ElectionWait
 )
 
-// Method calls a method of a control replica.
-type Method[Q, R any] func(ctx context.Context, conn *grpc.ClientConn, request Q) (R, error)
+var callsNotWritten = metrics.NewCounter("sycamoredeck_leader_calls_not_written_total")
+
+type (
+	// Method calls a method of a control replica.
+	Method[Q, R any] func(ctx context.Context, conn *grpc.ClientConn, request Q) (R, error)
+
+	// Call describes how the leader is called, and what became of the call. The zero value
+	// is a call without options.
+	Call struct {
+		// Probe sends the request only on a connection that is known to answer. The outcome
+		// is unknown only if the request was written and not answered.
+		Probe bool
+		// AdviseReturn adds to the error of a call that was not executed after which time
+		// the caller should return, as google.rpc.RetryInfo.
+		AdviseReturn bool
+		// Uncertain is set if some attempt may have been executed, or may still be.
+		Uncertain bool
+
+		startedAt time.Time
+	}
+)
 
 // CallLeader calls the leader. After a leader change it calls the next one, until the
 // context ends or no leader is expected in time. The call must be idempotent: it may be
@@ -34,20 +55,24 @@
 // The error has code Unavailable if the call was certainly not executed and Aborted if it
 // may have been executed. Other codes are the leader's response.
 func CallLeader[Q, R any](ctx context.Context, u *Uplink, request Q, method Method[Q, R]) (R, error) {
-	startedAt := u.options.Clock.Now()
-	uncertain := false
+	return CallLeaderWith(ctx, u, &Call{}, request, method)
+}
+
+// CallLeaderWith is CallLeader with options.
+func CallLeaderWith[Q, R any](ctx context.Context, u *Uplink, c *Call, request Q, method Method[Q, R]) (R, error) {
+	c.startedAt = u.options.Clock.Now()
 	for {
-		response, err := callOnce(ctx, u, request, method)
+		response, err := callOnce(ctx, u, c, request, method)
 		if err == nil || !retriable(err) {
 			return response, err
 		}
-		uncertain = uncertain || !notExecuted(err)
-		if !u.shouldRetry(startedAt, uncertain) {
-			return response, finalError(err, uncertain)
+		c.Uncertain = c.Uncertain || !notExecuted(err)
+		if !u.shouldRetry(ctx, c) {
+			return response, u.finalError(err, c)
 		}
 		select {
 		case <-ctx.Done():
-			return response, finalError(err, uncertain)
+			return response, u.finalError(err, c)
 		case <-u.options.Clock.After(retryInterval):
 		}
 	}
@@ -57,36 +82,79 @@
 // electionWait, and immediately if too few replicas respond to elect a leader. A call that
 // may have been executed is retried for as long as its caller waits, since the next leader
 // can determine its outcome.
-func (u *Uplink) shouldRetry(startedAt time.Time, uncertain bool) bool {
-	if uncertain {
+func (u *Uplink) shouldRetry(ctx context.Context, c *Call) bool {
+	if c.Uncertain {
 		return true
 	}
-	return u.quorumResponsive() && u.options.Clock.Now().Sub(startedAt) < electionWait
+	now := u.options.Clock.Now()
+	if c.AdviseReturn {
+		return u.currentOutage().Holds(now.Sub(c.startedAt), timeLeft(ctx, now))
+	}
+	return u.quorumResponsive() && now.Sub(c.startedAt) < electionWait
 }
 
 // callOnce makes one attempt. It is canceled once another leader is known, since the
 // called one may be down and never respond.
-func callOnce[Q, R any](ctx context.Context, u *Uplink, request Q, method Method[Q, R]) (R, error) {
+func callOnce[Q, R any](ctx context.Context, u *Uplink, c *Call, request Q, method Method[Q, R]) (R, error) {
 	address, changed := u.watchLeader()
 	if address == "" {
 		var zero R
 		return zero, status.Error(codes.Unavailable, NotExecuted+"no control leader is known")
 	}
-	conn, err := u.options.Pool.Conn(address)
-	if err != nil {
-		var zero R
-		return zero, err
-	}
-	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
 		select {
 		case <-changed:
 			cancel()
-		case <-callCtx.Done():
+		case <-ctx.Done():
 		}
 	}()
-	return method(callCtx, conn, request)
+	conn, err := u.connect(ctx, c, address)
+	if err != nil {
+		var zero R
+		return zero, err
+	}
+	callCtx, cancelCall := context.WithTimeout(ctx, attemptTimeout)
+	defer cancelCall()
+	if !c.Probe {
+		return method(callCtx, conn, request)
+	}
+	callCtx, delivery := link.WithDelivery(callCtx)
+	response, err := method(callCtx, conn, request)
+	if err != nil && delivery.NotWritten() {
+		callsNotWritten.Inc()
+		err = status.Error(codes.Unavailable, NotExecuted+"it was not sent: "+status.Convert(err).Message())
+	}
+	return response, err
+}
+
+// connect returns a connection to the leader, for a call with Probe one that answers.
+func (u *Uplink) connect(ctx context.Context, c *Call, address string) (*grpc.ClientConn, error) {
+	if !c.Probe {
+		return u.options.Pool.Conn(address)
+	}
+	conn, err := u.options.Pool.Probe(ctx, address)
+	switch {
+	case err == nil:
+		u.recordProbe(address, true)
+		return conn, nil
+	case errors.Is(err, link.ErrClosed):
+		return nil, err
+	case errors.Is(err, link.ErrNotResponding):
+		u.recordProbe(address, false)
+		u.probeVoters()
+	}
+	return nil, status.Error(codes.Unavailable, NotExecuted+"the control leader was not asked: "+err.Error())
+}
+
+// timeLeft returns the time until the context ends.
+func timeLeft(ctx context.Context, now time.Time) time.Duration {
+	deadline, limited := ctx.Deadline()
+	if !limited {
+		return time.Hour
+	}
+	return deadline.Sub(now)
 }
 
 func retriable(err error) bool {
@@ -108,10 +176,14 @@
 // NotExecuted is the prefix of error messages for calls that were not executed.
 const NotExecuted = "not done: "
 
-func finalError(err error, uncertain bool) error {
+func (u *Uplink) finalError(err error, c *Call) error {
 	text := status.Convert(err).Message()
-	if uncertain {
+	switch {
+	case c.Uncertain:
 		return status.Error(codes.Aborted, "outcome unknown, ask again with the same key: "+text)
+	case c.AdviseReturn:
+		return u.refuse(text)
+	default:
+		return status.Error(codes.Unavailable, text)
 	}
-	return status.Error(codes.Unavailable, text)
 }
--- /dev/null
+++ b/internal/front/uplink/outage.go
@@ -0,0 +1,112 @@
+// This file defines how an entry tracks times in which no leader answers it.
+
+package uplink
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"sycamoredeck.example/internal/base/link"
+	"sycamoredeck.example/internal/front/retry"
+)
+
+var (
+	refusedInElection    = metrics.NewCounter(`sycamoredeck_work_requests_refused_total{state="election"}`)
+	refusedWithoutQuorum = metrics.NewCounter(`sycamoredeck_work_requests_refused_total{state="no_quorum"}`)
+)
+
+// outageRecord is the current time without a leader that answers. The zero value is none.
+type outageRecord struct {
+	since   time.Time
+	refused int // callers of this entry
+}
+
+// trackOutage starts or ends the outage. The leader answers if its last hello named itself,
+// and neither a hello nor a probe has failed since. The caller holds mu.
+func (u *Uplink) trackOutage(now time.Time) {
+	rs, known := u.replicas[u.leaderAddress]
+	switch {
+	case known && rs.response.GetLeaderAddress() == u.leaderAddress && rs.failedHellos == 0 && !rs.probeFailed:
+		u.outage = outageRecord{}
+	case u.outage.since.IsZero():
+		u.outage.since = now
+	}
+}
+
+// currentOutage returns the current outage.
+func (u *Uplink) currentOutage() retry.Outage {
+	hasQuorum := u.quorumResponsive()
+	now := u.options.Clock.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	o := retry.Outage{Quorum: hasQuorum, Refused: u.outage.refused}
+	if !u.outage.since.IsZero() {
+		o.Lasted = now.Sub(u.outage.since)
+	}
+	return o
+}
+
+// refuse returns the error of a call that was not executed, with the time after which its
+// caller should return.
+func (u *Uplink) refuse(text string) error {
+	o := u.currentOutage()
+	u.mu.Lock()
+	u.outage.refused++
+	u.mu.Unlock()
+	counter := refusedWithoutQuorum
+	if o.Quorum {
+		counter = refusedInElection
+	}
+	counter.Inc()
+	after := o.ReturnAfter()
+	u.options.Logger.Info("request refused", "quorum", o.Quorum, "lasted_ms", o.Lasted.Milliseconds(), "refused_before", o.Refused,
+		"return_after_s", after.Seconds(), "error", text)
+	s := status.New(codes.Unavailable, text)
+	if detailed, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(after)}); err == nil {
+		s = detailed
+	}
+	return s.Err()
+}
+
+// recordProbe records whether a replica answered a probe, until its next hello.
+func (u *Uplink) recordProbe(address string, answered bool) {
+	now := u.options.Clock.Now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if rs, known := u.replicas[address]; known {
+		rs.probeFailed = !answered
+		u.replicas[address] = rs
+	}
+	u.trackOutage(now)
+}
+
+// probeVoters probes the voters in the background, unless that is going on, after the
+// leader didn't answer a probe. Hellos are long polls and tell only after seconds that a
+// quorum doesn't respond; a caller would be held in vain meanwhile.
+func (u *Uplink) probeVoters() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, m := range u.members() {
+		if m.Voter && m.Address != u.leaderAddress && !u.probing[m.Address] {
+			u.probing[m.Address] = true
+			go u.probeVoter(m.Address)
+		}
+	}
+}
+
+func (u *Uplink) probeVoter(address string) {
+	_, err := u.options.Pool.Probe(context.Background(), address)
+	if err == nil || errors.Is(err, link.ErrNotResponding) {
+		u.recordProbe(address, err == nil)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.probing, address)
+}
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -73,6 +73,8 @@
 		entries      map[string]*wire.EntryStatus
 		receivedAt   time.Time
 		failedHellos int // since receivedAt
+		// probeFailed indicates that it didn't answer the last probe since receivedAt.
+		probeFailed bool
 	}
 
 	// Uplink tracks the control replicas. It is safe for concurrent use once Run is started.
@@ -96,6 +98,9 @@
 		term          uint64
 		// leaderChanged is closed when another leader is known.
 		leaderChanged chan struct{}
+		outage        outageRecord
+		// probing are the addresses of the voters that are being probed.
+		probing map[string]bool
 		// fetchMu prevents several loops from fetching the same configuration.
 		fetchMu sync.Mutex
 		// refreshMu orders the calls of OnEntriesChanged and OnDrainedChanged.
@@ -107,7 +112,7 @@
 func New(options Options) *Uplink {
 	return &Uplink{
 		options: options, configuredAddresses: options.Addresses, replicas: map[string]replicaStatus{}, followerFailures: map[string]time.Time{}, helloLoops: map[string]context.CancelFunc{},
-		leaderChanged: make(chan struct{}),
+		leaderChanged: make(chan struct{}), probing: map[string]bool{},
 	}
 }
 
@@ -312,6 +317,7 @@
 		u.leaderChanged = make(chan struct{})
 	}
 	u.leaderAddress, u.term = leader, term
+	u.trackOutage(now)
 	ids := u.entryIDs
 	u.mu.Unlock()
 	if changed {
@@ -435,10 +441,10 @@
 }
 
 // quorumResponsive reports whether a majority of the voters is expected to respond: those
-// with a valid status and fewer than maxFailedHellos failures. It returns true if no
-// voter is known.
+// with a valid status, fewer than maxFailedHellos failures and no failed probe. It returns
+// true if no voter is known.
 func (u *Uplink) quorumResponsive() bool {
-	responsive, voters := u.countVoters(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos })
+	responsive, voters := u.countVoters(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos && !rs.probeFailed })
 	return voters == 0 || responsive > voters/2
 }
 
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -13,11 +13,13 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"sycamoredeck.example/internal/base/boot"
 	"sycamoredeck.example/internal/base/files"
 	"sycamoredeck.example/internal/front/proxy"
+	"sycamoredeck.example/internal/sched/admit"
 	"sycamoredeck.example/internal/sched/drive"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
@@ -194,6 +196,8 @@
 			return nil, err
 		}
 		return &wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: j.id, Queue: j.queue, Spec: r.Spec}}}, nil
+	}, func(j jobName, term uint64, leased bool) *admit.Refusal {
+		return s.engine.Admit(drive.Submission{Queue: j.queue, Job: j.id, Spec: r.Spec, Term: term, Leased: leased})
 	})
 	if err != nil {
 		s.logger.Info("job submission not confirmed", "job", job.id, "queue", job.queue, "error", err)
@@ -203,36 +207,60 @@
 	if result.Err != nil {
 		response.Reason = result.Err.Error()
 	}
+	var refusal *admit.Refusal
+	if errors.As(result.Err, &refusal) {
+		response.RetryAfter = durationpb.New(refusal.RetryAfter)
+	}
 	s.logger.Info("job submitted", "job", job.id, "queue", job.queue, "steps", len(r.Spec.Steps), "answer", response.Answer.String(), "reason", response.Reason,
 		"took_ms", s.clock.Now().Sub(receivedAt).Milliseconds())
 	return response, nil
 }
 
 // commitForJob commits a command for the job that a target names. The result's error is
-// graph.ErrUnknownQueue if the target names no queue, or that of command.
+// graph.ErrUnknownQueue if the target names no queue, that of command, or the refusal of
+// admission, which may be nil.
 //
 // A leader with a valid lease looks up the queue where it proposes the command, since each
 // turn of the event loop that a job waits for delays its start. Otherwise, and before it
-// refuses anything, it confirms its leadership first.
-func (s *workService) commitForJob(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error)) (jobName, state.Result, error) {
+// refuses anything, it confirms its leadership first. Without a valid lease every job is
+// admitted, since the next leader may know of another submission with its id.
+func (s *workService) commitForJob(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error), admission func(j jobName, term uint64, leased bool) *admit.Refusal) (jobName, state.Result, error) {
 	if err := s.checkReady(); err != nil {
 		return jobName{}, state.Result{}, err
 	}
 	proposed := make(chan jobName, 1)
+	refused := make(chan *admit.Refusal, 1)
 	result, err := s.node.CommitFrom(ctx, func() *wire.Command {
 		job, known := s.matchJob(target)
-		if !known || !s.node.HoldsLeaderLease(s.node.Core().Status().Term) {
+		if !known {
 			return nil
 		}
 		c, err := command(job)
 		if err != nil {
 			return nil
 		}
+		term := s.node.Core().Status().Term
+		leased := s.node.HoldsLeaderLease(term)
+		if admission != nil {
+			if r := admission(job, term, leased); r != nil {
+				proposed <- job
+				refused <- r
+				return nil
+			}
+		}
+		if !leased {
+			return nil
+		}
 		proposed <- job
 		return &wire.Command{Body: &wire.Command_Work{Work: c}}
 	})
 	if errors.Is(err, node.ErrNothingProposed) {
-		return s.commitConfirmed(ctx, target, command)
+		select {
+		case r := <-refused:
+			return <-proposed, state.Result{Err: r}, nil
+		default:
+			return s.commitConfirmed(ctx, target, command)
+		}
 	}
 	var job jobName
 	select {
@@ -271,9 +299,12 @@
 
 // answerForError returns the answer for the error of an applied command.
 func answerForError(err error) wire.WorkAnswer {
+	var refusal *admit.Refusal
 	switch {
 	case err == nil:
 		return wire.WorkAnswer_WORK_ANSWER_DONE
+	case errors.As(err, &refusal):
+		return wire.WorkAnswer_WORK_ANSWER_OVERLOADED
 	case errors.Is(err, graph.ErrUnknownQueue):
 		return wire.WorkAnswer_WORK_ANSWER_UNKNOWN_QUEUE
 	case errors.Is(err, graph.ErrUnknownJob):
@@ -320,7 +351,7 @@
 func (s *workService) CancelWork(ctx context.Context, r *wire.CancelWorkRequest) (*wire.CancelWorkResponse, error) {
 	job, result, err := s.commitForJob(ctx, r.Target, func(j jobName) (*wire.WorkCommand, error) {
 		return &wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: j.id, Queue: j.queue}}}, nil
-	})
+	}, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -10,6 +10,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"sycamoredeck.example/internal/front/proxy"
@@ -83,12 +84,10 @@
 // submission and cancellation, and each inspection that isn't answered.
 func (e *Entry) leaderProxy() proxy.Leader {
 	p := proxy.WithRetry(func(ctx context.Context, once func(context.Context, proxy.Conn) error) error {
-		_, err := uplink.CallLeader(ctx, e.uplink, struct{}{}, func(ctx context.Context, conn *grpc.ClientConn, _ struct{}) (struct{}, error) {
-			return struct{}{}, once(ctx, conn)
-		})
-		return err
+		return e.callLeader(ctx, &uplink.Call{AdviseReturn: e.features[adaptiveRetryAfter]}, once)
 	})
-	submit, inspect, cancel := p.Submit, p.Inspect, p.Cancel
+	inspect := p.Inspect
+	submit, cancel := e.submit, e.cancel
 	p.Submit = func(ctx context.Context, r *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error) {
 		startedAt := e.clock.Now()
 		response, err := submit(ctx, r)
@@ -112,6 +111,41 @@
 	return p
 }
 
+// callLeader makes a call to the leader through once, possibly several times.
+func (e *Entry) callLeader(ctx context.Context, call *uplink.Call, once func(context.Context, proxy.Conn) error) error {
+	_, err := uplink.CallLeaderWith(ctx, e.uplink, call, struct{}{}, func(ctx context.Context, conn *grpc.ClientConn, _ struct{}) (struct{}, error) {
+		return struct{}{}, once(ctx, conn)
+	})
+	return err
+}
+
+// changingCall returns the options of a call that changes a job.
+func (e *Entry) changingCall() *uplink.Call {
+	return &uplink.Call{Probe: e.features[probeBeforeSend], AdviseReturn: e.features[adaptiveRetryAfter]}
+}
+
+// submit submits a job to the leader. A refusal counts only if no earlier attempt may have
+// been executed: one that was delayed on its way could be accepted after the refusal.
+func (e *Entry) submit(ctx context.Context, r *wire.SubmitWorkRequest) (response *wire.SubmitWorkResponse, err error) {
+	call := e.changingCall()
+	err = e.callLeader(ctx, call, func(ctx context.Context, conn proxy.Conn) error {
+		response, err = wire.NewWorkServiceClient(conn).SubmitWork(ctx, r)
+		return err
+	})
+	if err == nil && call.Uncertain && response.Answer == wire.WorkAnswer_WORK_ANSWER_OVERLOADED {
+		return nil, status.Error(codes.Aborted, "outcome unknown, ask again with the same key: refused after an attempt that was not answered")
+	}
+	return response, err
+}
+
+func (e *Entry) cancel(ctx context.Context, r *wire.CancelWorkRequest) (response *wire.CancelWorkResponse, err error) {
+	err = e.callLeader(ctx, e.changingCall(), func(ctx context.Context, conn proxy.Conn) error {
+		response, err = wire.NewWorkServiceClient(conn).CancelWork(ctx, r)
+		return err
+	})
+	return response, err
+}
+
 // inspect returns the state of a job from the leader, or a queue's pending jobs from a
 // follower if one answers. A follower answers some milliseconds later, as it has to write
 // the log to its disk first, and clients wait for the states of their jobs. Counts are
--- a/internal/sched/drive/completions.go
+++ b/internal/sched/drive/completions.go
@@ -36,6 +36,7 @@
 			continue
 		}
 		e.recordOutcome(a, t, c.Outcome)
+		e.recordDrained(t, c.Outcome)
 		ends = append(ends, &wire.RunEnd{Id: c.Run, Agent: a.record.Id, Outcome: c.Outcome, Checkpoint: c.Checkpoint})
 	}
 	e.logSkippedCompletions(a, skipped)
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -121,7 +121,8 @@
 		queue      pendingQueue
 		newlyReady []*graph.Stage
 		// progress is the progress of each stage that was seen with tasks to place.
-		progress map[*graph.Stage]*stageProgress
+		progress  map[*graph.Stage]*stageProgress
+		admission admission
 	}
 )
 
