--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -103,3 +103,6 @@
 	}
 	return answered, polling
 }
+
+// Enable switches an optional feature on.
+func (e *Engine) Enable(f Feature) { e.options.Enabled = map[Feature]bool{f: true} }
