--- a/internal/sched/admit/admit_test.go
+++ b/internal/sched/admit/admit_test.go
@@ -47,7 +47,9 @@
 		{"standing", func(_ *Request, s *wire.Step) { s.Standing = true }, Accepted},
 		{"occurrences", func(r *Request, _ *wire.Step) { r.Spec.Occurrences = 1 }, Accepted},
 		{"fits no agent", func(r *Request, s *wire.Step) { r.TermAge, s.CpuMillis = RegistrationTime, 4001 }, NoAgent},
-		{"fits no agent yet", func(r *Request, s *wire.Step) { r.TermAge, s.CpuMillis, r.Objective = RegistrationTime-1, 4001, time.Hour }, Accepted},
+		{"fits no agent yet", func(r *Request, s *wire.Step) {
+			r.TermAge, s.CpuMillis, r.Objective = RegistrationTime-1, 4001, time.Hour
+		}, Accepted},
 		{"CPU and memory on different agents", func(r *Request, s *wire.Step) { r.TermAge, s.MemoryMb = RegistrationTime, 101 }, NoAgent},
 		{"CPU of opportunistic work", func(r *Request, s *wire.Step) {
 			r.TermAge, s.MemoryMb, s.Opportunistic, r.Objective = RegistrationTime, 101, true, time.Hour
