--- a/internal/front/uplink/probe_test.go
+++ b/internal/front/uplink/probe_test.go
@@ -124,6 +124,7 @@
 				}
 			}
 			assert.Equal(t, s.submitted.Load(), int32(1))
+			assert.Equal(t, u.currentOutage().Quorum, !c.call.Probe, "the loss of the quorum")
 		})
 	}
 }
@@ -156,6 +157,7 @@
 	f.uplink.recordProbe(members[0], false)
 	f.clock.Advance(time.Second)
 	lasted(time.Second)
+	f.receiveHello(members[1], members[0], 2)
 	f.receiveHello(members[0], "", 2)
 	lasted(time.Second)
 	f.receiveHello(members[1], members[1], 3)
--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -132,12 +132,18 @@
 		response, err = wire.NewWorkServiceClient(conn).SubmitWork(ctx, r)
 		return err
 	})
-	if err == nil && call.Uncertain && response.Answer == wire.WorkAnswer_WORK_ANSWER_OVERLOADED {
+	if err == nil && refusalUncertain(response.Answer, call.Uncertain) {
 		return nil, status.Error(codes.Aborted, "outcome unknown, ask again with the same key: refused after an attempt that was not answered")
 	}
 	return response, err
 }
 
+// refusalUncertain reports whether an answer is a refusal that an attempt with an unknown
+// outcome may contradict.
+func refusalUncertain(answer wire.WorkAnswer, uncertain bool) bool {
+	return uncertain && answer == wire.WorkAnswer_WORK_ANSWER_OVERLOADED
+}
+
 func (e *Entry) cancel(ctx context.Context, r *wire.CancelWorkRequest) (response *wire.CancelWorkResponse, err error) {
 	err = e.callLeader(ctx, e.changingCall(), func(ctx context.Context, conn proxy.Conn) error {
 		response, err = wire.NewWorkServiceClient(conn).CancelWork(ctx, r)
