--- a/internal/front/retry/after.go
+++ b/internal/front/retry/after.go
@@ -47,8 +47,13 @@
 // ReturnAfter returns after which time the next refused caller should return, in whole
 // seconds: after an election, or after as much time as the loss of the quorum has lasted
 // so far. Callers who are refused faster than returnsPerSecond return later by their
-// position, so that those who were refused first return first.
-func (o Outage) ReturnAfter() time.Duration {
+// position, so that those who were refused first return first. A caller who waits for the
+// time left returns within it, as a later return is of no use to it.
+func (o Outage) ReturnAfter(left time.Duration) time.Duration {
+	return min(o.expected(), max(left.Truncate(time.Second), Shortest))
+}
+
+func (o Outage) expected() time.Duration {
 	if o.Quorum {
 		return Shortest
 	}
--- a/internal/front/retry/after_test.go
+++ b/internal/front/retry/after_test.go
@@ -31,7 +31,7 @@
 }
 
 // Guards against callers who use up their retries while no quorum can be back, or who return long
-// after a leader is there.
+// after a leader is there or their own time is over.
 func TestReturnFollowsDurationOfOutage(t *testing.T) {
 	cases := []struct {
 		outage Outage
@@ -47,12 +47,15 @@
 		{Outage{Lasted: 2 * time.Second, Refused: 1000 * returnsPerSecond}, 4 * time.Second},
 	}
 	for _, c := range cases {
-		assert.Equal(t, c.outage.ReturnAfter(), c.want, "%+v", c.outage)
+		assert.Equal(t, c.outage.ReturnAfter(time.Minute), c.want, "%+v", c.outage)
+	}
+	for left, want := range map[time.Duration]time.Duration{2900 * time.Millisecond: 2 * time.Second, 400 * time.Millisecond: Shortest} {
+		assert.Equal(t, Outage{Lasted: time.Minute}.ReturnAfter(left), want, "a caller with %v left", left)
 	}
 	returnsAt := time.Duration(0)
 	for i := range 200 { // in an instant, and then at a steady rate
 		o := Outage{Refused: i, Lasted: time.Duration(max(i-100, 0)) * 20 * time.Millisecond}
-		at := o.Lasted + o.ReturnAfter()
+		at := o.Lasted + o.ReturnAfter(time.Minute)
 		assert.Assert(t, at >= returnsAt.Truncate(time.Second), "caller %d returns at %v, an earlier one at %v", i, at, returnsAt)
 		returnsAt = at
 	}
--- a/internal/front/uplink/leader.go
+++ b/internal/front/uplink/leader.go
@@ -68,11 +68,11 @@
 		}
 		c.Uncertain = c.Uncertain || !notExecuted(err)
 		if !u.shouldRetry(ctx, c) {
-			return response, u.finalError(err, c)
+			return response, u.finalError(ctx, err, c)
 		}
 		select {
 		case <-ctx.Done():
-			return response, u.finalError(err, c)
+			return response, u.finalError(ctx, err, c)
 		case <-u.options.Clock.After(retryInterval):
 		}
 	}
@@ -176,13 +176,13 @@
 // NotExecuted is the prefix of error messages for calls that were not executed.
 const NotExecuted = "not done: "
 
-func (u *Uplink) finalError(err error, c *Call) error {
+func (u *Uplink) finalError(ctx context.Context, err error, c *Call) error {
 	text := status.Convert(err).Message()
 	switch {
 	case c.Uncertain:
 		return status.Error(codes.Aborted, "outcome unknown, ask again with the same key: "+text)
 	case c.AdviseReturn:
-		return u.refuse(text)
+		return u.refuse(text, timeLeft(ctx, u.options.Clock.Now()))
 	default:
 		return status.Error(codes.Unavailable, text)
 	}
--- a/internal/front/uplink/outage.go
+++ b/internal/front/uplink/outage.go
@@ -54,8 +54,8 @@
 }
 
 // refuse returns the error of a call that was not executed, with the time after which its
-// caller should return.
-func (u *Uplink) refuse(text string) error {
+// caller, who waits for the time left, should return.
+func (u *Uplink) refuse(text string, left time.Duration) error {
 	o := u.currentOutage()
 	u.mu.Lock()
 	u.outage.refused++
@@ -65,7 +65,7 @@
 		counter = refusedInElection
 	}
 	counter.Inc()
-	after := o.ReturnAfter()
+	after := o.ReturnAfter(left)
 	u.options.Logger.Info("request refused", "quorum", o.Quorum, "lasted_ms", o.Lasted.Milliseconds(), "refused_before", o.Refused,
 		"return_after_s", after.Seconds(), "error", text)
 	s := status.New(codes.Unavailable, text)
