Election without the wait after a restart of all voters

After a loss of all power each replica waited for an election timeout before it stood for election, though no leader could be left. With RestartElection, a replica that has restarted asks all voters twice whether they have restarted and heard from no leader since, and then stands at once. The leader lease now also needs a committed entry of the leader's term and the leader's own vote, on which the proof relies.

--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -237,6 +237,7 @@
 		HeartbeatInterval: c.settings.HeartbeatInterval.AsDuration(),
 		ElectionTimeout:   c.settings.ElectionTimeout.AsDuration(),
 		SnapshotThreshold: uint64(c.settings.SnapshotRecords),
+		RestartElection:   c.restartElectionEnabled(),
 		Clock:             c.clock, Logger: c.logger,
 		Send:           c.transport.Send,
 		AfterIteration: c.tick,
--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -27,6 +27,7 @@
 	}
 	n.recordRounds()
 	n.updateRole()
+	n.recordRestart()
 	n.completeReads()
 	n.completeAppliedReads()
 	n.maybeSnapshot()
@@ -72,6 +73,7 @@
 // the latency of a commit. They stop after one heartbeat interval: a leader whose disk
 // hangs must not keep its followers from electing another one.
 func (n *Node) processReady() bool {
+	n.withdrawLease()
 	committed := n.core.NextCommittedEntries()
 	for _, r := range committed {
 		n.applyEntry(r)
@@ -275,8 +277,9 @@
 func (n *Node) recordRounds() {
 	status := n.core.Status()
 	if status.Role != quorum.Leader || status.TransferringLeadership {
-		n.leaderLease.Store(nil)
+		n.confirmedLease = nil
 	}
+	n.withdrawLease()
 	if status.Role != quorum.Leader {
 		n.unconfirmedRounds, n.confirmedAt = nil, time.Time{}
 		return
@@ -288,10 +291,22 @@
 	for len(n.unconfirmedRounds) > 0 && n.unconfirmedRounds[0].round <= status.ConfirmedRound {
 		n.confirmedAt = n.unconfirmedRounds[0].sentAt
 		if !status.TransferringLeadership {
-			n.leaderLease.Store(&leaderLease{term: status.Term, confirmedAt: n.unconfirmedRounds[0].sentBootTime})
+			n.confirmedLease = &leaderLease{term: status.Term, confirmedAt: n.unconfirmedRounds[0].sentBootTime}
 		}
 		n.unconfirmedRounds = n.unconfirmedRounds[1:]
 	}
+	if n.confirmedLease != nil && n.core.MayHoldLease() {
+		n.leaderLease.Store(n.confirmedLease)
+	}
+}
+
+// withdrawLease ends the leader lease if this replica may not hold one. It is called before
+// anything is sent: after a message that tells of a transfer or of the leader's own removal,
+// another replica may be elected within the time of the lease.
+func (n *Node) withdrawLease() {
+	if !n.core.MayHoldLease() {
+		n.leaderLease.Store(nil)
+	}
 }
 
 func (n *Node) updateRole() {
@@ -310,6 +325,25 @@
 	n.role = status.Role
 }
 
+// recordRestart records how an election after a restart of all voters went.
+func (n *Node) recordRestart() {
+	status := n.core.Status()
+	if status.RestartPhase == n.restartPhase {
+		return
+	}
+	n.restartPhase = status.RestartPhase
+	since := n.options.BootTime() - n.startedAt
+	switch status.RestartPhase {
+	case quorum.RestartElected:
+		restartElectionsTotal.Inc()
+		n.options.Logger.Info("elected without waiting, as all voters have restarted", "term", status.Term, "voters", status.RestartGrants, "since_start_ms", since.Milliseconds())
+	case quorum.RestartExpired:
+		restartElectionsExpiredTotal.Inc()
+		n.options.Logger.Info("not all voters have restarted, standing for election as usual", "term", status.Term, "granted", status.RestartGrants, "since_start_ms", since.Milliseconds())
+	default:
+	}
+}
+
 func (n *Node) failPending(err error) {
 	waiters, reads := n.waiters, n.reads
 	n.waiters, n.reads = map[uint64]waiter{}, nil
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -62,6 +62,9 @@
 	syncsTotal          = metrics.NewCounter("sycamoredeck_log_syncs_total")
 	snapshotsTotal      = metrics.NewCounter("sycamoredeck_log_snapshots_total")
 	roleChangesTotal    = metrics.NewCounter("sycamoredeck_log_role_changes_total")
+
+	restartElectionsTotal        = metrics.NewCounter("sycamoredeck_log_restart_elections_total")
+	restartElectionsExpiredTotal = metrics.NewCounter("sycamoredeck_log_restart_elections_expired_total")
 )
 
 type (
@@ -73,7 +76,9 @@
 		// SnapshotThreshold is the number of applied log entries since the last snapshot
 		// after which a new one is taken.
 		SnapshotThreshold uint64
-		Clock             clockwork.Clock
+		// RestartElection is passed to the replicated log: see quorum.Options.
+		RestartElection bool
+		Clock           clockwork.Clock
 		// BootTime returns the time since an arbitrary fixed moment, including time during
 		// which the instance was suspended. boot.Now is used when nil.
 		BootTime func() time.Duration
@@ -140,10 +145,15 @@
 		unconfirmedRounds []sentRound
 		lastRecordedRound uint64 // the highest round ever added to unconfirmedRounds
 		confirmedAt       time.Time
-		role              quorum.Role
-		leaderSince       time.Time
-		appliedIndex      uint64
-		appliedTerm       uint64 // term of the entry at appliedIndex
+		// confirmedLease is the lease of the last confirmed round. It is held while the
+		// replicated log allows it.
+		confirmedLease *leaderLease
+		role           quorum.Role
+		restartPhase   quorum.RestartPhase
+		startedAt      time.Duration
+		leaderSince    time.Time
+		appliedIndex   uint64
+		appliedTerm    uint64 // term of the entry at appliedIndex
 		// iterationStart is read before the iteration sends anything and is the send time of
 		// its heartbeat round. If the process is paused in mid-iteration, the leader lease
 		// that the round confirms therefore starts too early rather than too late.
@@ -171,7 +181,7 @@
 	n := &Node{
 		options: options, log: log, machine: machine,
 		inbox: make(chan func(), inboxCapacity), stop: make(chan struct{}), done: make(chan struct{}),
-		waiters: map[uint64]waiter{},
+		waiters: map[uint64]waiter{}, startedAt: options.BootTime(),
 	}
 	if s := durable.Snapshot; s != nil && len(s.State) > 0 {
 		if err := machine.Load(s.State); err != nil {
@@ -183,7 +193,7 @@
 		ID:             options.ID,
 		HeartbeatTicks: ticksPerHeartbeat,
 		ElectionTicks:  int(ticksPerHeartbeat * options.ElectionTimeout / options.HeartbeatInterval),
-		Random:         rand.IntN,
+		Random:         rand.IntN, RestartElection: options.RestartElection,
 	}, quorum.DurableState{Vote: durable.Vote, Snapshot: durable.Snapshot, Entries: durable.Entries})
 	return n, nil
 }
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -45,6 +45,9 @@
 		HeartbeatTicks int
 		// Random returns a number in [0,n). It randomizes election timeouts.
 		Random func(n int) int
+		// RestartElection lets a replica stand for election without waiting for an election
+		// timeout if all voters have restarted.
+		RestartElection bool
 	}
 
 	// DurableState is what a replica has on disk when it starts.
@@ -120,6 +123,7 @@
 		// votes. It may have acknowledged a heartbeat just before the restart, and the
 		// leader's lease relies on no vote being granted for an election timeout.
 		noVoteTicks int
+		restart     restartElection
 
 		voteChanged       bool
 		pendingSnapshot   *wire.Snapshot // received and not yet returned by Ready
@@ -171,6 +175,9 @@
 	c.becomeFollower(c.term, 0)
 	if c.term > 0 {
 		c.noVoteTicks = options.ElectionTicks
+		if options.RestartElection {
+			c.startRestartElection()
+		}
 	}
 	return c
 }
@@ -247,6 +254,10 @@
 	// by a quorum of voters.
 	Round, ConfirmedRound  uint64
 	TransferringLeadership bool
+	// RestartPhase is the state of the election after a restart of all voters, RestartGrants
+	// the number of voters, including this one, that have granted the latest request.
+	RestartPhase  RestartPhase
+	RestartGrants int
 }
 
 // Status returns the current status.
@@ -256,9 +267,18 @@
 		Commit: c.commitIndex, Applied: c.appliedIndex, Synced: c.syncedIndex,
 		FirstIndex: c.snapshot.Index + 1, LastIndex: c.LastIndex(),
 		Round: c.round, ConfirmedRound: c.confirmedRound(), TransferringLeadership: c.transferee != 0,
+		RestartPhase: c.restartPhase(), RestartGrants: len(c.restart.granted),
 	}
 }
 
+// MayHoldLease reports whether a confirmed round gives this replica a leader lease. The leader
+// must have committed an entry of its term and be a voter itself. Then no replica that has a
+// membership without this one can be elected, or ask only others whether they have restarted:
+// see docs/design/restart-election.md.
+func (c *Core) MayHoldLease() bool {
+	return c.role == Leader && c.transferee == 0 && c.isVoter(c.options.ID) && c.termAt(c.commitIndex) == c.term
+}
+
 // LastIndex returns the index of the last log entry.
 func (c *Core) LastIndex() uint64 {
 	return c.snapshot.Index + uint64(len(c.entries))
--- a/internal/store/quorum/election.go
+++ b/internal/store/quorum/election.go
@@ -18,8 +18,9 @@
 		c.tickLeader()
 		return
 	}
+	c.tickRestart()
 	if c.electionElapsed >= c.randomizedElectionTicks && c.isVoter(c.options.ID) {
-		c.campaign(PreCandidate, false)
+		c.campaign(PreCandidate, false, nil)
 	}
 }
 
@@ -64,7 +65,11 @@
 // campaign starts an election, or a pre-election for a pre-candidate. Pre-vote prevents a
 // replica that was partitioned from returning with a higher term and deposing a healthy
 // leader.
-func (c *Core) campaign(role Role, transfer bool) {
+//
+// restarted are the incarnations of all voters if each has confirmed that it has restarted;
+// nil in all other elections.
+func (c *Core) campaign(role Role, transfer bool, restarted map[uint64]uint64) {
+	c.restart.request, c.restart.standing = 0, restarted != nil
 	c.role = role
 	c.leader = 0
 	c.votes = map[uint64]bool{c.options.ID: true}
@@ -89,13 +94,14 @@
 		c.send(&wire.PeerMessage{
 			Kind: kind, To: m.ReplicaId, Term: term, Handover: transfer,
 			Index: c.LastIndex(), LogTerm: c.termAt(c.LastIndex()),
+			Restarted: restarted != nil, AskedIndex: restarted[m.ReplicaId],
 		})
 	}
 }
 
 func (c *Core) electionWon() {
 	if c.role == PreCandidate {
-		c.campaign(Candidate, false)
+		c.campaign(Candidate, false, nil)
 		return
 	}
 	c.becomeLeader()
@@ -129,6 +135,7 @@
 }
 
 func (c *Core) becomeLeader() {
+	c.endRestart()
 	c.role, c.leader, c.transferee = Leader, c.options.ID, 0
 	c.electionElapsed, c.heartbeatElapsed = 0, 0
 	c.peers = map[uint64]*progress{}
@@ -152,6 +159,7 @@
 		resp.Term = max(c.term, 1)
 	}
 	if !pre && !resp.Reject {
+		c.endRestart()
 		c.votedFor, c.voteChanged = m.From, true
 		c.resetElectionTimer()
 	}
--- a/internal/store/quorum/replication.go
+++ b/internal/store/quorum/replication.go
@@ -17,6 +17,10 @@
 	if m.To != c.options.ID || m.ClusterId != c.membership.GetClusterId() {
 		return
 	}
+	if c.options.RestartElection && m.Restarted && m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE {
+		c.handleRestartRequest(m)
+		return
+	}
 	if c.ignoresVoteRequest(m) {
 		return
 	}
@@ -39,7 +43,7 @@
 func (c *Core) ignoresVoteRequest(m *wire.PeerMessage) bool {
 	switch m.Kind {
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE, wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE:
-		return !m.Handover && c.leaderActive()
+		return !m.Handover && !c.waivesWait(m) && c.leaderActive()
 	default:
 		return false
 	}
@@ -78,6 +82,10 @@
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE, wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE:
 		c.handleVoteRequest(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER, wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE_ANSWER:
+		if c.options.RestartElection && m.Restarted {
+			c.handleRestartAnswer(m)
+			return
+		}
 		c.handleVoteResponse(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND:
 		c.followLeader(m)
@@ -89,13 +97,14 @@
 		c.handleAppendResponse(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_TIMEOUT_NOW:
 		if m.From == c.leader && c.isVoter(c.options.ID) {
-			c.campaign(Candidate, true)
+			c.campaign(Candidate, true, nil)
 		}
 	default:
 	}
 }
 
 func (c *Core) followLeader(m *wire.PeerMessage) {
+	c.endRestart()
 	c.role, c.leader = Follower, m.From
 	c.resetElectionTimer()
 }
