--- a/internal/store/quorum/restart.go
+++ b/internal/store/quorum/restart.go
@@ -15,9 +15,10 @@
 	// restartIntervalDivisor divides the election timeout to give the longest time between
 	// two requests. Callers notice an election of more than about a quarter of the timeout.
 	restartIntervalDivisor = 5
-	// restartHoldTicks is how long a voter that has confirmed one candidate confirms no
-	// other. It is at least one full tick, which is longer than a vote with its sync to disk.
-	// Without it, candidates split the vote, and then no voter may grant another request.
+	// restartHoldTicks is how long a voter that has confirmed one candidate doesn't stand
+	// itself, and confirms only candidates with lower IDs. It is at least one full tick, which
+	// is longer than a vote with its sync to disk. Otherwise candidates would split the vote,
+	// after which no voter may grant a further request.
 	restartHoldTicks = 2
 )
 
@@ -55,7 +56,7 @@
 	confirming map[uint64]uint64
 	// granted are the incarnations that have granted the latest request.
 	granted map[uint64]uint64
-	// heldFor is the candidate confirmed last. No other is confirmed for holdTicks.
+	// heldFor is the candidate confirmed last, for which the hold lasts holdTicks.
 	heldFor   uint64
 	holdTicks int
 	// standing is true while the latest campaign is such an election.
@@ -87,14 +88,20 @@
 		return
 	}
 	r.ticksLeft = c.restartInterval()
-	if !c.heldForOther(c.options.ID) {
+	if !c.heldForOther() {
 		c.requestRestart(nil)
 	}
 }
 
 // heldForOther reports whether this replica has just confirmed another candidate.
-func (c *Core) heldForOther(candidate uint64) bool {
-	return c.restart.holdTicks > 0 && c.restart.heldFor != candidate
+func (c *Core) heldForOther() bool {
+	return c.restart.holdTicks > 0 && c.restart.heldFor != c.options.ID
+}
+
+// mayConfirm reports whether this replica confirms a candidate. Of several candidates that ask
+// at the same time, all others including these confirm the one with the lowest ID.
+func (c *Core) mayConfirm(candidate uint64) bool {
+	return c.restart.holdTicks == 0 || candidate <= c.restart.heldFor
 }
 
 // requestRestart asks all voters to grant an election: first whether they have restarted, and
@@ -132,7 +139,7 @@
 	switch {
 	case r.confirming != nil:
 		c.campaign(Candidate, false, r.granted)
-	case !c.heldForOther(c.options.ID):
+	case !c.heldForOther():
 		c.requestRestart(r.granted)
 	default:
 	}
@@ -143,7 +150,7 @@
 func (c *Core) handleRestartRequest(m *wire.PeerMessage) {
 	r := &c.restart
 	confirms := m.AskedIndex != 0
-	if !r.untouched || !c.isVoter(c.options.ID) || confirms && (m.AskedIndex != r.incarnation || c.heldForOther(m.From)) {
+	if !r.untouched || !c.isVoter(c.options.ID) || confirms && (m.AskedIndex != r.incarnation || !c.mayConfirm(m.From)) {
 		return
 	}
 	answer := &wire.PeerMessage{
--- a/internal/store/quorum/sim_test.go
+++ b/internal/store/quorum/sim_test.go
@@ -23,6 +23,11 @@
 	wipe float64
 	// slowDisk is the probability that a write in progress continues in the background.
 	slowDisk float64
+	// powerLoss is the probability that all replicas crash, freeze that one stops for a time.
+	powerLoss, freeze float64
+	// restartElection switches it on, and has all clocks run at the same rate, on which leader
+	// leases rely: see restart_sim_test.go.
+	restartElection bool
 }
 
 type (
@@ -53,6 +58,10 @@
 		persisting   *quorum.Ready
 		appliedIndex uint64
 		appliedTerm  uint64
+		// frozenUntil is the step until which it does nothing, sentAt the step at which each
+		// heartbeat round was sent.
+		frozenUntil int64
+		sentAt      map[uint64]int64
 	}
 
 	// sim is a cluster in which every step is derived from one seed.
@@ -76,6 +85,9 @@
 		// losesSynced makes crashes lose synced entries too. The simulation must detect
 		// that.
 		losesSynced bool
+
+		darkUntil        int64           // the step until which all replicas are without power
+		restartElections map[uint64]bool // by term
 	}
 )
 
@@ -83,7 +95,7 @@
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 7)), faults: faults, nextID: 1,
 		replicas: map[uint64]*simReplica{}, down: map[uint64]simDisk{}, cutLinks: map[[2]uint64]bool{},
-		committed: map[uint64]*wire.LogRecord{}, leaders: map[uint64]uint64{},
+		committed: map[uint64]*wire.LogRecord{}, leaders: map[uint64]uint64{}, restartElections: map[uint64]bool{},
 	}
 	initial := &wire.Membership{ClusterId: 9}
 	for range size {
@@ -97,13 +109,13 @@
 }
 
 func (s *sim) start(id uint64, disk simDisk) {
-	r := &simReplica{id: id, disk: disk, machine: state.New(state.Options{}), waiters: map[uint64]simWaiter{}}
+	r := &simReplica{id: id, disk: disk, machine: state.New(state.Options{}), waiters: map[uint64]simWaiter{}, sentAt: map[uint64]int64{}}
 	if len(disk.snapshot.State) > 0 {
 		s.check(r.machine.Load(disk.snapshot.State) == nil, "replica %d: snapshot can't be loaded", id)
 	}
 	r.appliedIndex, r.appliedTerm = disk.snapshot.Index, disk.snapshot.Term
 	r.core = quorum.New(quorum.Options{
-		ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Random: s.random.IntN,
+		ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Random: s.random.IntN, RestartElection: s.faults.restartElection,
 	}, quorum.DurableState{Vote: disk.vote, Snapshot: disk.snapshot, Entries: slices.Clone(disk.entries)})
 	s.replicas[id] = r
 	delete(s.down, id)
@@ -135,8 +147,11 @@
 	for range steps {
 		s.step++
 		s.injectFaults()
-		if r := s.randomReplica(); r != nil {
-			if s.chance(0.3) {
+		if s.faults.restartElection {
+			s.stepClocks()
+		}
+		if r := s.randomReplica(); r != nil && s.step >= r.frozenUntil {
+			if !s.faults.restartElection && s.chance(0.3) {
 				r.core.Tick()
 			}
 			s.runClients(r)
@@ -179,7 +194,7 @@
 			s.crash(r)
 		}
 	}
-	if s.chance(s.faults.restart) {
+	if s.step >= s.darkUntil && s.chance(s.faults.restart) {
 		ids := make([]uint64, 0, len(s.down))
 		for id := range s.down {
 			ids = append(ids, id)
@@ -255,6 +270,10 @@
 		s.network = append(s.network, m)
 	}
 	r := s.replicas[m.To]
+	if r != nil && s.step < r.frozenUntil {
+		s.network = append(s.network, m)
+		return
+	}
 	if r == nil || s.cutLinks[[2]uint64{m.From, m.To}] || s.chance(s.faults.drop) {
 		return
 	}
@@ -376,6 +395,7 @@
 		}
 		s.leaders[status.Term] = r.id
 	}
+	s.recordRound(r, status)
 	kept := r.reads[:0]
 	for _, rd := range r.reads {
 		switch {
