--- a/internal/store/quorum/restart_test.go
+++ b/internal/store/quorum/restart_test.go
@@ -3,6 +3,8 @@
 package quorum_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -37,7 +39,8 @@
 				elections += len(s.restartElections)
 				operations += len(s.operations)
 			}
-			t.Logf("%d restart elections, %d operations", elections, operations)
+			assert.Assert(t, elections > seedsPerCase/10, "only %d elections after a restart of all voters", elections)
+			assert.Assert(t, operations > seedsPerCase*10, "only %d operations: the schedules leave the cluster unavailable", operations)
 		})
 	}
 }
@@ -63,7 +66,7 @@
 				s.deliver()
 			}
 		}
-		t.Log(ticks)
+		assert.Assert(t, ticks <= 3, "seed %d: no leader for %d ticks", n, ticks)
 	}
 }
 
@@ -76,5 +79,114 @@
 	return false
 }
 
-var _ = wire.PeerMessage{}
-var _ = assert.Assert
+const (
+	preVote       = wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE
+	preVoteAnswer = wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER
+	vote          = wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE
+	voteAnswer    = wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE_ANSWER
+)
+
+// restartedVoter returns replica 2 of three, restarted in term 4.
+func restartedVoter() *quorum.Core {
+	membership := &wire.Membership{ClusterId: 9}
+	for id := uint64(1); id <= 3; id++ {
+		membership.Members = append(membership.Members, &wire.ControlMember{ReplicaId: id, Voter: true})
+	}
+	return quorum.New(quorum.Options{
+		ID: 2, ElectionTicks: 10, HeartbeatTicks: 2, Random: rand.New(rand.NewPCG(1, 1)).IntN, RestartElection: true,
+	}, quorum.DurableState{Vote: &wire.Vote{Term: 4}, Snapshot: &wire.Snapshot{Membership: membership}})
+}
+
+// exchange passes a message to replica 2 and returns the messages of a kind that it sends.
+func exchange(c *quorum.Core, m *wire.PeerMessage, kind wire.PeerMessageKind) []*wire.PeerMessage {
+	m.To, m.ClusterId = 2, 9
+	c.Step(m)
+	return slices.DeleteFunc(c.Ready().Messages, func(o *wire.PeerMessage) bool { return o.Kind != kind || o.Reject })
+}
+
+func heartbeat() *wire.PeerMessage {
+	return &wire.PeerMessage{Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND, From: 3, Term: 4}
+}
+
+// Guards against a vote within the time of a leader lease: by a voter that has heard from a leader
+// or voted since it confirmed, or that has forgotten this by another restart.
+func TestVoteAfterRestart(t *testing.T) {
+	cases := []struct {
+		name      string
+		between   *wire.PeerMessage // between the confirmation and the vote
+		restarted bool
+		offset    uint64 // added to the incarnation
+		want      int
+	}{
+		{"same incarnation", nil, true, 0, 1},
+		{"other incarnation", nil, true, 1, 0},
+		{"ordinary vote", nil, false, 0, 0},
+		{"leader heard", heartbeat(), true, 0, 0},
+		{"vote for another", &wire.PeerMessage{Kind: vote, From: 3, Term: 5, Handover: true}, true, 0, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			voter := restartedVoter()
+			answers := exchange(voter, &wire.PeerMessage{Kind: preVote, From: 1, Term: 6, Restarted: true, Round: 1}, preVoteAnswer)
+			if c.between != nil {
+				exchange(voter, c.between, voteAnswer)
+			}
+			request := &wire.PeerMessage{Kind: vote, From: 1, Term: 6, Restarted: c.restarted, AskedIndex: answers[0].AskedIndex + c.offset}
+			assert.Equal(t, len(exchange(voter, request, voteAnswer)), c.want)
+		})
+	}
+}
+
+// Guards against an election though one voter hasn't confirmed, has restarted between its two
+// answers, or has answered only an earlier request.
+func TestElectionNeedsAllRestartedVoters(t *testing.T) {
+	grant := func(request *wire.PeerMessage, from uint64) *wire.PeerMessage {
+		return &wire.PeerMessage{Kind: preVoteAnswer, From: from, Term: request.Term, Restarted: true, Round: request.Round, AskedIndex: 70 + from}
+	}
+	cases := []struct {
+		name string
+		last func(first, second *wire.PeerMessage) *wire.PeerMessage // from replica 3
+		want int
+	}{
+		{"all confirm", func(_, second *wire.PeerMessage) *wire.PeerMessage { return grant(second, 3) }, 2},
+		{"earlier request", func(first, _ *wire.PeerMessage) *wire.PeerMessage { return grant(first, 3) }, 0},
+		{"leader", func(_, _ *wire.PeerMessage) *wire.PeerMessage { return heartbeat() }, 0},
+		{"restarted again", func(_, second *wire.PeerMessage) *wire.PeerMessage {
+			m := grant(second, 3)
+			m.AskedIndex++
+			return m
+		}, 0},
+		{"ordinary grant", func(_, second *wire.PeerMessage) *wire.PeerMessage {
+			m := grant(second, 3)
+			m.Restarted = false
+			return m
+		}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			candidate := restartedVoter()
+			var first []*wire.PeerMessage
+			for len(first) == 0 {
+				candidate.Tick()
+				first = candidate.Ready().Messages
+			}
+			assert.Equal(t, len(exchange(candidate, grant(first[0], 1), preVote)), 0)
+			second := exchange(candidate, grant(first[0], 3), preVote)
+			assert.Equal(t, len(second), 2)
+			assert.Equal(t, len(exchange(candidate, grant(second[0], 1), vote)), 0)
+			assert.Equal(t, len(exchange(candidate, c.last(first[0], second[0]), vote)), c.want)
+		})
+	}
+}
+
+// Guards against a lease of a leader that isn't in the membership of all who can be elected: one
+// that has removed itself, or was elected by a change of membership that isn't committed.
+func TestLeaseNeedsCommittedMembership(t *testing.T) {
+	c := electLeader(t, nil)
+	c.Synced(c.Ready())
+	assert.Assert(t, !c.MayHoldLease())
+	c.Step(appendAck(2, c, 1))
+	assert.Assert(t, c.MayHoldLease())
+	assert.NilError(t, c.Remove(1))
+	assert.Assert(t, !c.MayHoldLease())
+}
