Restart election: delayed rejections have no effect on a follower

A rejection that arrives after a replica has heard from a leader would have raised its term and freed its vote within the lease. The candidate doesn't ask again while its votes may arrive. Tests cover the end of the lease before a leader sends its own removal.

--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -295,7 +295,7 @@
 		}
 		n.unconfirmedRounds = n.unconfirmedRounds[1:]
 	}
-	if n.confirmedLease != nil && n.core.MayHoldLease() {
+	if n.confirmedLease != nil && n.confirmedLease.term == status.Term && n.core.MayHoldLease() {
 		n.leaderLease.Store(n.confirmedLease)
 	}
 }
--- a/internal/store/node/lease_test.go
+++ b/internal/store/node/lease_test.go
@@ -35,6 +35,9 @@
 	iterations atomic.Int64
 	responding atomic.Bool
 	sent       atomic.Int64 // messages sent by replica 1
+	// removals counts the messages that remove replica 1, removalsWithLease those sent while
+	// it held the leader lease.
+	removals, removalsWithLease atomic.Int64
 }
 
 func startCluster(t *testing.T, options walog.Options) *testCluster {
@@ -67,6 +70,7 @@
 // respond plays a replica that has every entry and accepts every message.
 func (c *testCluster) respond(to *wire.ControlMember, messages []*wire.PeerMessage) {
 	c.sent.Add(int64(len(messages)))
+	c.countRemovals(messages)
 	if !c.responding.Load() {
 		return
 	}
@@ -85,6 +89,20 @@
 	c.node.Step(responses)
 }
 
+func (c *testCluster) countRemovals(messages []*wire.PeerMessage) {
+	for _, m := range messages {
+		for _, r := range m.Records {
+			if r.Membership == nil {
+				continue
+			}
+			c.removals.Add(1)
+			if c.node.HoldsLeaderLease(m.Term) {
+				c.removalsWithLease.Add(1)
+			}
+		}
+	}
+}
+
 // waitForLease waits until the replica holds the leader lease and returns its term.
 func (c *testCluster) waitForLease(t *testing.T) uint64 {
 	t.Helper()
@@ -136,6 +154,17 @@
 	}
 }
 
+// Guards against a leader that still holds its lease when others learn that it has removed itself.
+// They may elect another without its grant after a restart.
+func TestLeaseEndsBeforeOwnRemovalIsSent(t *testing.T) {
+	c := startCluster(t, walog.Options{})
+	c.waitForLease(t)
+	assert.NilError(t, c.node.Do(context.Background(), func() { assert.Check(t, c.node.Core().Remove(1)) }))
+	c.waitIdle(t)
+	assert.Assert(t, c.removals.Load() > 0)
+	assert.Equal(t, c.removalsWithLease.Load(), int64(0))
+}
+
 // Guards against LeadershipConfirmedAt advancing in iterations in which no replica
 // responded.
 func TestConfirmedAtDoesNotAdvanceWithoutResponses(t *testing.T) {
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -267,7 +267,7 @@
 		Commit: c.commitIndex, Applied: c.appliedIndex, Synced: c.syncedIndex,
 		FirstIndex: c.snapshot.Index + 1, LastIndex: c.LastIndex(),
 		Round: c.round, ConfirmedRound: c.confirmedRound(), TransferringLeadership: c.transferee != 0,
-		RestartPhase: c.restartPhase(), RestartGrants: len(c.restart.granted),
+		RestartPhase: c.restartPhase(), RestartGrants: c.restartGrants(),
 	}
 }
 
--- a/internal/store/quorum/replication.go
+++ b/internal/store/quorum/replication.go
@@ -17,8 +17,7 @@
 	if m.To != c.options.ID || m.ClusterId != c.membership.GetClusterId() {
 		return
 	}
-	if c.options.RestartElection && m.Restarted && m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE {
-		c.handleRestartRequest(m)
+	if c.options.RestartElection && m.Restarted && c.handleRestartMessage(m) {
 		return
 	}
 	if c.ignoresVoteRequest(m) {
@@ -82,10 +81,6 @@
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE, wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE:
 		c.handleVoteRequest(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER, wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE_ANSWER:
-		if c.options.RestartElection && m.Restarted {
-			c.handleRestartAnswer(m)
-			return
-		}
 		c.handleVoteResponse(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND:
 		c.followLeader(m)
--- a/internal/store/quorum/restart.go
+++ b/internal/store/quorum/restart.go
@@ -88,7 +88,8 @@
 		return
 	}
 	r.ticksLeft = c.restartInterval()
-	if !c.heldForOther() {
+	voting := c.role == Candidate && r.holdTicks > 0 // its votes may still arrive
+	if !voting && !c.heldForOther() {
 		c.requestRestart(nil)
 	}
 }
@@ -145,6 +146,19 @@
 	}
 }
 
+// handleRestartMessage handles requests and their answers. It returns false for other messages.
+func (c *Core) handleRestartMessage(m *wire.PeerMessage) bool {
+	switch m.Kind {
+	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE:
+		c.handleRestartRequest(m)
+	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER:
+		c.handleRestartAnswer(m)
+	default:
+		return false
+	}
+	return true
+}
+
 // handleRestartRequest answers a candidate that asks whether this replica has restarted. It
 // doesn't answer if it hasn't, or is no longer untouched.
 func (c *Core) handleRestartRequest(m *wire.PeerMessage) {
@@ -167,11 +181,18 @@
 	c.send(answer)
 }
 
-// handleRestartAnswer counts an answer to the latest request.
+// handleRestartAnswer counts an answer to the latest request. Others, such as a delayed rejection
+// after this replica has heard from a leader, have no effect.
 func (c *Core) handleRestartAnswer(m *wire.PeerMessage) {
 	r := &c.restart
 	switch {
-	case m.Reject, !r.untouched, r.request == 0, m.Round != r.request, r.term != c.term+1:
+	case !r.untouched, r.request == 0, m.Round != r.request, r.term != c.term+1:
+		return
+	case m.Reject && m.Term > c.term:
+		c.role = Follower
+		c.setTerm(m.Term) // the next request asks for a later one
+		return
+	case m.Reject:
 		return
 	case r.confirming != nil && r.confirming[m.From] != m.AskedIndex:
 		return
@@ -191,6 +212,15 @@
 	c.restart.untouched, c.restart.request = false, 0
 }
 
+// restartGrants returns the number of voters that have granted the latest request, or all if
+// this replica was elected by their grants.
+func (c *Core) restartGrants() int {
+	if c.restartPhase() == RestartElected {
+		return len(c.voters())
+	}
+	return len(c.restart.granted)
+}
+
 func (c *Core) restartPhase() RestartPhase {
 	switch {
 	case c.role == Leader && c.restart.standing:
