Explain why stages wait, and report capacity

Operators could not see what keeps a stage from being placed. The engine now answers with the limits that placement itself uses: fits returns the first limit, schedulable the first that keeps an agent out. Late stages are logged and counted once.

--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -124,7 +124,7 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
-	root.AddCommand(p.entryCommand(), p.controlCommand(), p.callCommand(), p.jobCommand(), p.workCommand(), p.catalogCommand(), p.domainCommand(), p.configCommand(),
+	root.AddCommand(p.entryCommand(), p.controlCommand(), p.callCommand(), p.jobCommand(), p.workCommand(), p.capacityCommand(), p.catalogCommand(), p.domainCommand(), p.configCommand(),
 		p.memberCommand(), p.backendCommand(), p.workerCommand(), p.statusCommand(), p.versionCommand())
 	requireSubcommand(root)
 	return root
--- a/internal/cli/cmds/work.go
+++ b/internal/cli/cmds/work.go
@@ -17,7 +17,7 @@
 
 func (p *program) workCommand() *cobra.Command {
 	c := &cobra.Command{Use: "work", Short: "Jobs of steps and tasks, addressed by their queue's host and a path"}
-	c.AddCommand(p.workSubmit(), p.workGet(), p.workCancel())
+	c.AddCommand(p.workSubmit(), p.workGet(), p.workExplain(), p.workCancel())
 	return c
 }
 
--- a/internal/front/proxy/leader.go
+++ b/internal/front/proxy/leader.go
@@ -29,6 +29,8 @@
 		Report     func(context.Context, *wire.ReportAgentRequest) (*wire.ReportAgentResponse, error)
 		Drain      func(context.Context, *wire.DrainDomainRequest) (*wire.DrainDomainResponse, error)
 		Domains    func(context.Context, *wire.ListDomainsRequest) (*wire.ListDomainsResponse, error)
+		Explain    func(context.Context, *wire.ExplainWorkRequest) (*wire.ExplainWorkResponse, error)
+		Capacity   func(context.Context, *wire.GetCapacityRequest) (*wire.GetCapacityResponse, error)
 	}
 )
 
@@ -38,6 +40,7 @@
 		Submit: s.SubmitWork, Inspect: s.InspectWork, Cancel: s.CancelWork,
 		PutCatalog: s.PutCatalog, GetCatalog: s.GetCatalog, Report: s.ReportAgent,
 		Drain: s.DrainDomain, Domains: s.ListDomains,
+		Explain: s.ExplainWork, Capacity: s.GetCapacity,
 	}
 }
 
@@ -52,6 +55,8 @@
 		Report:     remoteCall(dial, wire.WorkServiceClient.ReportAgent),
 		Drain:      remoteCall(dial, wire.WorkServiceClient.DrainDomain),
 		Domains:    remoteCall(dial, wire.WorkServiceClient.ListDomains),
+		Explain:    remoteCall(dial, wire.WorkServiceClient.ExplainWork),
+		Capacity:   remoteCall(dial, wire.WorkServiceClient.GetCapacity),
 	}
 }
 
@@ -78,6 +83,8 @@
 		Report:     chooseCall(useFirst, first.Report, second.Report),
 		Drain:      chooseCall(useFirst, first.Drain, second.Drain),
 		Domains:    chooseCall(useFirst, first.Domains, second.Domains),
+		Explain:    chooseCall(useFirst, first.Explain, second.Explain),
+		Capacity:   chooseCall(useFirst, first.Capacity, second.Capacity),
 	}
 }
 
@@ -102,6 +109,8 @@
 		Report:     retriedCall(retry, wire.WorkServiceClient.ReportAgent),
 		Drain:      retriedCall(retry, wire.WorkServiceClient.DrainDomain),
 		Domains:    retriedCall(retry, wire.WorkServiceClient.ListDomains),
+		Explain:    retriedCall(retry, wire.WorkServiceClient.ExplainWork),
+		Capacity:   retriedCall(retry, wire.WorkServiceClient.GetCapacity),
 	}
 }
 
--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -79,6 +79,16 @@
 	return s.leader.Domains(ctx, r)
 }
 
+// ExplainWork forwards the call to the leader.
+func (s *workService) ExplainWork(ctx context.Context, r *wire.ExplainWorkRequest) (*wire.ExplainWorkResponse, error) {
+	return s.leader.Explain(ctx, r)
+}
+
+// GetCapacity forwards the call to the leader.
+func (s *workService) GetCapacity(ctx context.Context, r *wire.GetCapacityRequest) (*wire.GetCapacityResponse, error) {
+	return s.leader.Capacity(ctx, r)
+}
+
 // leaderProxy returns a proxy that calls the leader across leader changes. It logs each
 // submission and cancellation, and each inspection that isn't answered.
 func (e *Entry) leaderProxy() proxy.Leader {
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -117,8 +117,22 @@
 func (a *agent) leaseRenewable() bool { return a.failedPolls == 0 && !a.expiryCommitted }
 
 // schedulable reports whether new tasks may be placed on the agent.
-func (e *Engine) schedulable(a *agent) bool {
-	return a.synced && !a.expiryCommitted && !a.record.Leaving && !a.dropping && !e.suspected(a) && e.now >= a.backoffUntil && e.capacityKnown(a) && !e.drained(a)
+func (e *Engine) schedulable(a *agent) bool { return e.agentLimit(a) == noLimit }
+
+// agentLimit returns the first limit that keeps all new tasks off the agent.
+func (e *Engine) agentLimit(a *agent) limit {
+	switch {
+	case a.record.Leaving:
+		return leavingLimit
+	case e.drained(a):
+		return drainedLimit
+	case a.expiryCommitted || a.dropping || e.suspected(a):
+		return unreachableLimit
+	case !a.synced || e.now < a.backoffUntil || !e.capacityKnown(a):
+		return notReadyLimit
+	default:
+		return noLimit
+	}
 }
 
 // drained reports whether the agent's failure domain accepts no new tasks.
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -122,6 +122,8 @@
 		newlyReady []*graph.Stage
 		// progress is the progress of each stage that was seen with tasks to place.
 		progress map[*graph.Stage]*stageProgress
+		// lateStages are stages to report by reportLateStages, in scheduling order.
+		lateStages []rankedStage
 	}
 )
 
@@ -169,6 +171,7 @@
 	e.runningCPU = map[loadKey]float64{}
 	e.queue, e.newlyReady = pendingQueue{}, nil
 	e.progress = map[*graph.Stage]*stageProgress{}
+	e.lateStages = nil
 	e.reservations = map[*graph.Task]string{}
 	clear(e.estimates.jobs)
 	e.advice, e.advicePending = map[*graph.Stage]*stageAdvice{}, false
--- a/internal/sched/drive/gang.go
+++ b/internal/sched/drive/gang.go
@@ -51,8 +51,27 @@
 // placeMembers places all members on the candidates, or none. It first tries on copies of
 // the candidates, so that a failed attempt changes nothing.
 func (p *pass) placeMembers(s *graph.Stage, candidates []*freeResources, number uint32) bool {
-	trial := &pass{engine: p.engine, wallTime: p.wallTime}
-	copies := make([]*freeResources, len(candidates))
+	trial, _, complete := p.tryMembers(s, candidates, number)
+	if !complete {
+		return false
+	}
+	for _, pl := range trial.placed {
+		for _, f := range candidates {
+			if f.agent.record.Id == pl.Agent {
+				f.assume(s.Tasks[pl.Id.Index])
+				p.summaries[p.engine.poolOf(s.Job)].assume(s)
+			}
+		}
+	}
+	p.placed = append(p.placed, trial.placed...)
+	return true
+}
+
+// tryMembers places members of a gang on copies of the candidates until one finds no agent.
+// It returns the pass with the placements, the copies, and whether all members were placed.
+func (p *pass) tryMembers(s *graph.Stage, candidates []*freeResources, number uint32) (trial *pass, copies []*freeResources, complete bool) {
+	trial = &pass{engine: p.engine, wallTime: p.wallTime}
+	copies = make([]*freeResources, len(candidates))
 	for i, f := range candidates {
 		clone := *f
 		clone.tasksByStage = map[*graph.Stage]int{s: f.tasksByStage[s]}
@@ -63,19 +82,10 @@
 	for _, t := range s.Tasks {
 		free := sr.best(t)
 		if free == nil {
-			return false
+			return trial, copies, false
 		}
 		trial.assume(t, free, number)
 		sr.updateRating(free)
 	}
-	for _, pl := range trial.placed {
-		for _, f := range candidates {
-			if f.agent.record.Id == pl.Agent {
-				f.assume(s.Tasks[pl.Id.Index])
-				p.summaries[p.engine.poolOf(s.Job)].assume(s)
-			}
-		}
-	}
-	p.placed = append(p.placed, trial.placed...)
-	return true
+	return trial, copies, true
 }
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -71,6 +71,7 @@
 		}
 		return len(p.placed) < maxPlacements
 	})
+	p.reportLateStages()
 	e.placementDirty = e.placementDirty || len(p.placed) >= maxPlacements
 	if len(p.placed) == 0 {
 		return
--- a/internal/sched/drive/progress.go
+++ b/internal/sched/drive/progress.go
@@ -10,6 +10,10 @@
 	// placement was proposed, and committedAt when that was committed.
 	readyAt, proposedAt, committedAt time.Duration
 	started                          bool
+	// waitingSince is when it last came to have tasks to place; lateReported is set once
+	// reportLateStages has reported it.
+	waitingSince time.Duration
+	lateReported bool
 }
 
 func (p *stageProgress) recordProposal(now time.Duration) {
--- a/internal/sched/drive/queue.go
+++ b/internal/sched/drive/queue.go
@@ -62,6 +62,9 @@
 func (e *Engine) updateQueue(wall time.Time) {
 	newlyReady := e.newlyReady
 	e.newlyReady = nil
+	for _, s := range newlyReady {
+		e.recordWaiting(s)
+	}
 	if e.now >= e.queue.rebuildAt {
 		e.rebuildQueue(e.graph.ReadyStages(), wall)
 		return
@@ -92,6 +95,7 @@
 	}
 	e.markOverloaded(e.queue.sorted)
 	slices.SortFunc(e.queue.sorted, compareStages)
+	e.findLateStages()
 }
 
 // rankNew ranks a stage that became ready after the queue was built.
@@ -104,7 +108,14 @@
 // recordReady records when a stage first had tasks to place.
 func (e *Engine) recordReady(s *graph.Stage) {
 	if e.progress[s] == nil {
-		e.progress[s] = &stageProgress{readyAt: e.now}
+		e.progress[s] = &stageProgress{readyAt: e.now, waitingSince: e.now}
+	}
+}
+
+// recordWaiting records that a stage again has tasks to place.
+func (e *Engine) recordWaiting(s *graph.Stage) {
+	if p := e.progress[s]; p != nil {
+		p.waitingSince = e.now
 	}
 }
 
--- a/internal/sched/drive/resources.go
+++ b/internal/sched/drive/resources.go
@@ -39,6 +39,8 @@
 		// attempt.
 		suspects, unconfirmed int
 		finalAttempt          bool
+		// quarantined indicates that the agent gets no tasks because of its health.
+		quarantined bool
 		// reservedFor is the stage that the free resources are reserved for, or nil.
 		reservedFor *graph.Stage
 	}
@@ -79,7 +81,7 @@
 		e.recomputeFree(a)
 		a.freeStale, a.freeAt = false, e.now
 	}
-	a.free.reservedFor = nil
+	a.free.reservedFor, a.free.quarantined = nil, e.quarantined(a)
 	return &a.free
 }
 
@@ -186,35 +188,58 @@
 }
 
 // fits reports whether a task of the stage may be placed here.
-func (f *freeResources) fits(s *graph.Stage) bool {
+func (f *freeResources) fits(s *graph.Stage) bool { return f.limitOf(s) == noLimit }
+
+// limitOf returns the first limit that keeps tasks of the stage from being placed here.
+// What can't change while the agent runs goes first, so that explanations don't name a
+// full agent that could never run the task as one without capacity.
+func (f *freeResources) limitOf(s *graph.Stage) limit {
 	step := s.Step
 	switch {
-	case f.finalAttempt || f.reservedFor != nil && f.reservedFor != s:
-		return false
+	case !f.hasRequiredLabel(step):
+		return labelLimit
+	case f.quarantined:
+		return quarantineLimit
+	case f.finalAttempt:
+		return finalAttemptLimit
+	case f.reservedFor != nil && f.reservedFor != s:
+		return reservationLimit
 	case !step.Opportunistic && f.cpuMillis < float64(step.CpuMillis):
-		return false
-	case step.Opportunistic && (f.reclaimable < defaultCPU(step) || f.agent.opportunisticHalted):
-		return false
+		return cpuLimit
+	case step.Opportunistic && f.reclaimable < defaultCPU(step):
+		return cpuLimit
+	case step.Opportunistic && f.agent.opportunisticHalted:
+		return interferenceLimit
 	default:
-		return f.fitsExceptCPU(s)
+		return f.limitBesideCPU(s)
 	}
 }
 
-// fitsExceptCPU reports whether a task of the stage may be placed here, given enough CPU.
-func (f *freeResources) fitsExceptCPU(s *graph.Stage) bool {
+// limitBesideCPU returns the first limit other than CPU, among the resources that a task
+// requests and its spread.
+func (f *freeResources) limitBesideCPU(s *graph.Stage) limit {
 	step := s.Step
 	switch {
-	case f.memoryMB < float64(step.MemoryMb) || f.accelerators < float64(step.Accelerators):
-		return false
+	case f.memoryMB < float64(step.MemoryMb):
+		return memoryLimit
+	case f.accelerators < float64(step.Accelerators):
+		return capacityLimit
 	case step.SpreadLimit > 0 && f.tasksByStage[s] >= int(step.SpreadLimit):
-		return false
-	case step.RequiredLabel != "" && !hasLabel(f.agent.record, step.RequiredLabel):
-		return false
+		return spreadLimit
 	default:
-		return true
+		return noLimit
 	}
 }
 
+// fitsExceptCPU reports whether a task of the stage may be placed here, given enough CPU.
+func (f *freeResources) fitsExceptCPU(s *graph.Stage) bool {
+	return f.hasRequiredLabel(s.Step) && f.limitBesideCPU(s) == noLimit
+}
+
+func (f *freeResources) hasRequiredLabel(step *wire.Step) bool {
+	return step.RequiredLabel == "" || hasLabel(f.agent.record, step.RequiredLabel)
+}
+
 func hasLabel(r *wire.Agent, label string) bool {
 	for _, l := range r.Labels {
 		if l == label {
