--- a/internal/sched/drive/explain.go
+++ b/internal/sched/drive/explain.go
@@ -183,9 +183,13 @@
 			x.excluded[l]++
 		}
 	}
-	stageLimit, t := p.stageLimit(s), p.mostLimitedTask(s)
+	t := p.mostLimitedTask(s)
+	stageLimit, missing := p.stageLimit(t), s.Unplaced
 	if s.Step.Gang && stageLimit == noLimit {
-		_, candidates, _ = p.tryMembers(s, candidates, 0)
+		// The members that find no agent are limited by what the others leave.
+		if trial, copies, complete := p.tryMembers(s, candidates, 0); !complete {
+			candidates, missing = copies, missing-len(trial.placed)
+		}
 	}
 	free, request := 0.0, float64(s.Step.CpuMillis)
 	if s.Step.Opportunistic {
@@ -203,7 +207,7 @@
 			free += max(f.cpuMillis, 0)
 		}
 	}
-	x.splitCPULimit(free >= request*float64(s.Unplaced))
+	x.splitCPULimit(free >= request*float64(missing))
 	x.excluded[noLimit] = 0
 	return x
 }
@@ -218,16 +222,17 @@
 	x.excluded[cpuLimit] = 0
 }
 
-// stageLimit returns the limit that keeps a stage off all agents.
-func (p *pass) stageLimit(s *graph.Stage) limit {
+// stageLimit returns the limit that keeps a task off all agents, whatever they have free.
+func (p *pass) stageLimit(t *graph.Task) limit {
+	s := t.Stage
 	if s.Step.Gang {
-		for _, t := range s.Tasks {
-			if t.Agent != "" {
+		for _, member := range s.Tasks {
+			if member.Agent != "" {
 				return gangLimit
 			}
 		}
 	}
-	if s.Standing() && !s.HasRun() && p.engine.enabled(ReserveForOrdinary) && !p.leavesReserve(s) {
+	if s.Standing() && t.Run == 0 && p.engine.enabled(ReserveForOrdinary) && !p.leavesReserve(s) {
 		return reservationLimit
 	}
 	return noLimit
