Placement and reserve by fragmentation on a tight pool

Wide urgent tasks wait although much CPU is free in total: tasks go to the emptiest agent, and the reserve against standing tasks is one sum over the pool.

With FragmentationAware and two thirds of a pool's CPU requested, tasks go where they make least CPU unusable for the sizes that are requested, small ones into small holes, and a new standing task waits while it would take a hole that the recent peak of a size class needs. The line "runs placed" names CPU and memory.

--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sycamoredeck.example/internal/base/boot"
+	"sycamoredeck.example/internal/sched/frag"
 	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
@@ -94,6 +95,11 @@
 		// ordinaryDemand is the recent peak demand of ordinary tasks by pool, in
 		// millicores.
 		ordinaryDemand map[string]float64
+		// sizeDemand is the recent demand of ordinary tasks by size class, by pool.
+		sizeDemand map[string]*frag.Demand
+		// waitingCPU is the requested CPU of the ready standing and ordinary tasks by pool, in
+		// millicores, as of the last update of sizeDemand.
+		waitingCPU map[string]float64
 		// ordinarySince is when ordinary work was first seen, by pool.
 		ordinarySince       map[string]time.Duration
 		nextDemandDecay     time.Duration
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -18,7 +18,10 @@
 	pollsFailed        = metrics.NewCounter("sycamoredeck_agent_holds_failed_total")
 	runsEvicted        = metrics.NewCounter("sycamoredeck_runs_moved_away_total")
 	opportunisticHalts = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
-	reportsIgnored     = metrics.NewCounter("sycamoredeck_agent_reports_ignored_total")
+	// standingHeldBack counts the passes in which the reserve by size class held back a new
+	// standing task.
+	standingHeldBack = metrics.NewCounter("sycamoredeck_standing_held_back_total")
+	reportsIgnored   = metrics.NewCounter("sycamoredeck_agent_reports_ignored_total")
 	// staleReports counts heartbeats of incarnations that were dropped or have a successor,
 	// completionsSkipped completions that were skipped by their number although their run is
 	// considered present.
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -30,8 +30,10 @@
 		engine     *Engine
 		freeByPool map[string][]*freeResources
 		summaries  map[string]*poolSummary // by pool
-		wallTime   time.Time
-		placed     []*wire.RunPlacement
+		// tight are the pools in which placement considers fragmentation.
+		tight    map[string]*tightPool
+		wallTime time.Time
+		placed   []*wire.RunPlacement
 		// unplaceable holds, by task class, the size of the latest task that fit on no
 		// agent in this pass; zero if there is none.
 		unplaceable []taskSize
@@ -86,6 +88,7 @@
 	for k, fs := range p.freeByPool {
 		p.summaries[k] = summarize(fs)
 	}
+	p.tight = e.tightPools(p.summaries)
 	return p
 }
 
@@ -157,6 +160,9 @@
 			return true
 		}
 		free := sr.best(t)
+		if free != nil && s.Standing() && t.Run == 0 && !p.leavesHoles(s, free) {
+			return true
+		}
 		if t.OnFinalAttempt() && !summary.allowsFinalAttempt() && (free == nil || !free.empty()) {
 			continue
 		}
@@ -223,6 +229,7 @@
 }
 
 func (p *pass) assume(t *graph.Task, free *freeResources, number uint32) {
+	p.recordTaken(t.Stage, free)
 	free.assume(t)
 	if summary := p.summaries[p.engine.poolOf(t.Stage.Job)]; summary != nil {
 		summary.assume(t.Stage)
@@ -275,7 +282,14 @@
 		if !p.engine.enabled(GroupSimilar) {
 			similar = 0
 		}
-		return cost - similarityGain*similar - free.cpuMillis/max(free.capacityMillis, 1)
+		cost -= similarityGain * similar
+		if t := p.tightPoolOf(s); t != nil {
+			return cost + t.cost(p, s, free)
+		}
+		return cost - free.cpuMillis/max(free.capacityMillis, 1)
+	}
+	if t := p.tightPoolOf(s); t != nil {
+		return cost + t.cost(p, s, free)
 	}
 	return cost - 0.5*free.cpuMillis/max(free.capacityMillis, 1)
 }
--- a/internal/sched/drive/rank.go
+++ b/internal/sched/drive/rank.go
@@ -102,7 +102,7 @@
 	}
 	e.options.Logger.Info("runs placed", "job", r.stage.Job.ID, "occurrence", r.stage.Occurrence, "step", r.stage.Index,
 		"priority", r.priority, "slack_ms", r.slack.Milliseconds(), "prospect", prospectNames[r.prospect], "crowded", r.overloaded,
-		"waited_ms", (e.now - e.progress[r.stage].readyAt).Milliseconds(), "unplaced", r.stage.Unplaced, "runs", text.String())
+		"cpu", r.stage.Step.CpuMillis, "memory_mb", r.stage.Step.MemoryMb, "waited_ms", (e.now - e.progress[r.stage].readyAt).Milliseconds(), "unplaced", r.stage.Unplaced, "runs", text.String())
 }
 
 // Prospects of a job.
--- a/internal/sched/drive/reserve.go
+++ b/internal/sched/drive/reserve.go
@@ -59,6 +59,7 @@
 	if e.ordinaryDemand == nil {
 		e.ordinaryDemand, e.ordinarySince = map[string]float64{}, map[string]time.Duration{}
 	}
+	e.updateSizeDemand(stages)
 	demand := map[string]float64{}
 	for _, s := range stages {
 		if !s.Step.Opportunistic && !s.Standing() {
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -58,6 +58,8 @@
 	drain                float64 // a failure domain is drained for some seconds
 	// disabled are the features that are switched off.
 	disabled map[drive.Feature]bool
+	// enabled are the optional features that are switched on.
+	enabled map[drive.Feature]bool
 }
 
 type (
@@ -211,7 +213,7 @@
 	term := s.term
 	s.isLeader, s.leaderSince = true, s.now
 	s.engine = drive.New(drive.Options{
-		Graph: s.graph, MaxConnections: s.maxConnections, Lease: modelLease, StopGrace: modelGrace, Disabled: s.faults.disabled,
+		Graph: s.graph, MaxConnections: s.maxConnections, Lease: modelLease, StopGrace: modelGrace, Disabled: s.faults.disabled, Enabled: s.faults.enabled,
 		Propose: func(c *wire.Command, done func(state.Result, error)) {
 			s.proposals = append(s.proposals, proposal{c, done, term})
 			s.after(commitLatency, s.commitNext)
@@ -334,7 +336,7 @@
 
 // endFaults ends all faults, also those in effect.
 func (s *sim) endFaults() {
-	s.faultsEnded, s.faultsEndedAt, s.faults = true, s.now, faults{disabled: s.faults.disabled}
+	s.faultsEnded, s.faultsEndedAt, s.faults = true, s.now, faults{disabled: s.faults.disabled, enabled: s.faults.enabled}
 	for _, d := range sortedKeys(s.drainedAt) {
 		s.drain(d, true)
 	}
