Agents held for wide stages, and memory freed for urgent tasks

A wide stage about to miss its objective never starts while small tasks fill each piece that is freed, and an urgent task waits for memory that opportunistic runs hold. With FragmentationAware on a tight pool, such a stage holds the agent that is expected to have room first, others use it only if they end by then, and opportunistic checkpointable runs of less urgent queues are stopped for memory, those with the least lost work first.

--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -118,7 +118,9 @@
 		nextReconcile, nextPass time.Duration
 		// reservations maps standing tasks, and tasks on their final attempt, to the
 		// agent on which capacity is reserved for them.
-		reservations  map[*graph.Task]string
+		reservations map[*graph.Task]string
+		// holds are the agents held for stages that find no room, by id.
+		holds         map[string]*hold
 		advice        map[*graph.Stage]*stageAdvice
 		advicePending bool // a request is in flight
 		nextAdvice    time.Duration
@@ -175,7 +177,7 @@
 	e.runningCPU = map[loadKey]float64{}
 	e.queue, e.newlyReady = pendingQueue{}, nil
 	e.progress = map[*graph.Stage]*stageProgress{}
-	e.reservations = map[*graph.Task]string{}
+	e.reservations, e.holds = map[*graph.Task]string{}, nil
 	clear(e.estimates.jobs)
 	e.advice, e.advicePending = map[*graph.Stage]*stageAdvice{}, false
 	e.placementPending, e.unreachablePending, e.crashesPending, e.longPolls = false, false, false, 0
--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -103,3 +103,13 @@
 	}
 	return answered, polling
 }
+
+// HeldFor returns the agent that is held for a job, "" if there is none.
+func (e *Engine) HeldFor(job string) string {
+	for id, h := range e.holds {
+		if h.stage.Job.ID == job {
+			return id
+		}
+	}
+	return ""
+}
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -31,9 +31,10 @@
 		freeByPool map[string][]*freeResources
 		summaries  map[string]*poolSummary // by pool
 		// tight are the pools in which placement considers fragmentation.
-		tight    map[string]*tightPool
-		wallTime time.Time
-		placed   []*wire.RunPlacement
+		tight        map[string]*tightPool
+		wallTime     time.Time
+		placed       []*wire.RunPlacement
+		holdSearches int // searches for an agent to hold
 		// unplaceable holds, by task class, the size of the latest task that fit on no
 		// agent in this pass; zero if there is none.
 		unplaceable []taskSize
@@ -67,6 +68,7 @@
 	e.queue.each(func(r *rankedStage) bool {
 		before := len(p.placed)
 		p.placeStage(r)
+		p.findRoom(r)
 		if len(p.placed) > before {
 			e.progress[r.stage].recordProposal(e.now)
 			e.logPlaced(r, p.placed[before:])
@@ -89,6 +91,7 @@
 		p.summaries[k] = summarize(fs)
 	}
 	p.tight = e.tightPools(p.summaries)
+	p.updateHolds()
 	return p
 }
 
@@ -184,7 +187,9 @@
 				p.reserveForStanding(t, candidates)
 			}
 		case sr.exhausted():
-			return false
+			// A task that fits only on a held agent says nothing about the others of its class:
+			// the agent may be held for one of them, or they may end in time.
+			return sr.heldBack
 		}
 	}
 	return true
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -62,7 +62,8 @@
 	stopPending bool // a stop order is in flight
 	nextStop    time.Duration
 
-	checkpoint      string // the latest that the agent reported
+	checkpoint      string        // the latest that the agent reported
+	checkpointAt    time.Duration // when the agent first reported it
 	progressPercent int
 	progressAt      time.Duration
 	usage           int // as RunStatus.Usage
@@ -92,8 +93,8 @@
 	if s.ProgressPercent != r.progressPercent {
 		r.progressPercent, r.progressAt = s.ProgressPercent, now
 	}
-	if s.Checkpoint != "" {
-		r.checkpoint = s.Checkpoint
+	if s.Checkpoint != "" && s.Checkpoint != r.checkpoint {
+		r.checkpoint, r.checkpointAt = s.Checkpoint, now
 	}
 	r.usage, r.usageAt = s.Usage, now
 	r.confirm(now)
--- a/internal/sched/frag/frag.go
+++ b/internal/sched/frag/frag.go
@@ -29,6 +29,8 @@
 	halfLife = 10 * time.Second
 	// firstInterval is the weight of the first update, before which no time is known.
 	firstInterval = 50 * time.Millisecond
+	// maxInterval limits the weight of an update after a time without any.
+	maxInterval = time.Second
 	// peakDecay is the factor by which the recorded peaks decay per second, as those of the
 	// reserve by sum. Their half-life is 14 s.
 	peakDecay = 0.95
@@ -82,7 +84,7 @@
 		for k := c; k < len(tasks); k++ {
 			holes += tasks[k] * float64(Holes(ClassSize(k), ClassSize(c)))
 		}
-		d.weights[c] = d.weights[c]*decay + n*interval.Seconds()
+		d.weights[c] = d.weights[c]*decay + n*min(interval, maxInterval).Seconds()
 		d.peaks[c] = max(holes, d.peaks[c]*lowered)
 	}
 }
@@ -113,6 +115,19 @@
 	return sum / total
 }
 
+// Mean returns the mean request of the recent demand, 0 without any.
+func (d *Demand) Mean() float64 {
+	sum, total := 0.0, 0.0
+	for c, w := range d.weights {
+		sum += w * ClassSize(c)
+		total += w
+	}
+	if total == 0 {
+		return 0
+	}
+	return sum / total
+}
+
 // Cost returns by how much a request raises the unusable free CPU of an agent. It is negative
 // where the request uses CPU that the demand can't use.
 func Cost(d *Demand, free, request float64) float64 {
