--- a/internal/sched/drive/backfill.go
+++ b/internal/sched/drive/backfill.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -37,12 +38,19 @@
 	preempted bool
 }
 
+// heldBackTask is a task that fits on no agent but held ones.
+type heldBackTask struct {
+	size     taskSize
+	duration time.Duration
+	priority uint32
+}
+
 // updateHolds drops the holds that are no longer needed or possible, and predicts anew when the
 // others will have room.
 func (p *pass) updateHolds() {
 	e := p.engine
-	for id, h := range e.holds {
-		a := e.agents.byID[id]
+	for _, id := range slices.Sorted(maps.Keys(e.holds)) {
+		h, a := e.holds[id], e.agents.byID[id]
 		reason := ""
 		switch {
 		case !h.stage.Ready() || h.stage.Job.Ended():
@@ -62,8 +70,37 @@
 		if reason != "" {
 			delete(e.holds, id)
 			e.options.Logger.Info("held agent released", "agent", id, "job", h.stage.Job.ID, "step", h.stage.Index, "reason", reason)
+			continue
+		}
+		if p.holders == nil {
+			p.holders = map[*graph.Stage]bool{}
 		}
+		p.holders[h.stage] = true
+	}
+}
+
+// recordHeldBack records that tasks of a stage fit on no agent but held ones.
+func (p *pass) recordHeldBack(r *rankedStage) {
+	duration, known := p.engine.expectedDuration(r.stage)
+	if r.first || !known {
+		return
+	}
+	if p.heldBack == nil {
+		p.heldBack = map[int]heldBackTask{}
+	}
+	p.heldBack[r.class] = heldBackTask{taskSizeOf(r.stage.Step), duration, r.priority}
+}
+
+// knownHeldBack reports whether a task of the same class that is at most as large, as long and as
+// urgent is known to fit on no agent but held ones in this pass. Like knownUnplaceable it saves most
+// searches under overload.
+func (p *pass) knownHeldBack(r *rankedStage) bool {
+	known, ok := p.heldBack[r.class]
+	if !ok || r.first || r.advised || r.stage.Step.Gang || p.holders[r.stage] || r.priority < known.priority || !known.size.fitsWhere(r.stage.Step) {
+		return false
 	}
+	duration, ends := p.engine.expectedDuration(r.stage)
+	return !ends || duration >= known.duration
 }
 
 // mayUse reports whether a stage may use an agent with regard to its hold.
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -35,6 +35,12 @@
 		wallTime     time.Time
 		placed       []*wire.RunPlacement
 		holdSearches int // searches for an agent to hold
+		// holders are the stages for which agents are held.
+		holders map[*graph.Stage]bool
+		// heldBack holds, by task class, the latest task that fits on no agent but held
+		// ones; lastHeldBack tells whether the latest search that found none left one out.
+		heldBack     map[int]heldBackTask
+		lastHeldBack bool
 		// unplaceable holds, by task class, the size of the latest task that fit on no
 		// agent in this pass; zero if there is none.
 		unplaceable []taskSize
@@ -146,7 +152,13 @@
 	case advised:
 		p.placeTasks(s, candidates)
 	case !p.placeTasks(s, candidates) && s.Step.SpreadLimit == 0 && s.Step.RequiredLabel == "":
-		p.unplaceable[r.class] = taskSizeOf(s.Step)
+		// A task that fits on a held agent says nothing about all others of its class: the
+		// agent may be held for one of them, or they may end in time.
+		if p.lastHeldBack {
+			p.recordHeldBack(r)
+		} else {
+			p.unplaceable[r.class] = taskSizeOf(s.Step)
+		}
 	}
 }
 
@@ -187,9 +199,8 @@
 				p.reserveForStanding(t, candidates)
 			}
 		case sr.exhausted():
-			// A task that fits only on a held agent says nothing about the others of its class:
-			// the agent may be held for one of them, or they may end in time.
-			return sr.heldBack
+			p.lastHeldBack = sr.heldBack
+			return false
 		}
 	}
 	return true
@@ -218,8 +229,12 @@
 // known to fit on no agent in this pass. Under overload this saves a search for most stages.
 func (p *pass) knownUnplaceable(r *rankedStage) bool {
 	size, step := p.unplaceable[r.class], r.stage.Step
-	return size != taskSize{} && step.CpuMillis >= size.cpuMillis && step.MemoryMb >= size.memoryMB && step.Accelerators >= size.accelerators &&
-		!step.Gang && !r.advised
+	return size != taskSize{} && size.fitsWhere(step) && !step.Gang && !r.advised || p.knownHeldBack(r)
+}
+
+// fitsWhere reports whether a task of this size fits wherever one of the step does.
+func (s taskSize) fitsWhere(step *wire.Step) bool {
+	return step.CpuMillis >= s.cpuMillis && step.MemoryMb >= s.memoryMB && step.Accelerators >= s.accelerators
 }
 
 // poolOf returns the pool of a job: that of its queue, or the one recorded at submission
