Pack standing tasks also before the first ordinary ones

A pool without any ordinary task so far was never tight, so the standing tasks submitted first were spread over all agents. A test for each placement rule.

--- a/internal/sched/drive/fragmentation.go
+++ b/internal/sched/drive/fragmentation.go
@@ -41,7 +41,11 @@
 	}
 	pools := map[string]*tightPool{}
 	for k, s := range summaries {
-		if d := e.sizeDemand[k]; d != nil && s.agents > 0 && s.capacityMillis-s.freeMillis+e.waitingCPU[k] >= s.capacityMillis*tightShare {
+		if s.agents > 0 && s.capacityMillis-s.freeMillis+e.waitingCPU[k] >= s.capacityMillis*tightShare {
+			d := e.sizeDemand[k]
+			if d == nil {
+				d = &frag.Demand{} // standing tasks come before the first ordinary ones
+			}
 			pools[k] = &tightPool{demand: d, meanCapacity: s.capacityMillis / float64(s.agents)}
 		}
 	}
--- a/internal/sched/drive/fragmentation_test.go
+++ b/internal/sched/drive/fragmentation_test.go
@@ -96,6 +96,40 @@
 	assert.Assert(t, mean >= 0.95, "%.2f of the wide tasks end in time", mean)
 }
 
+// Guards against tasks that break up the only room for wide ones: small tasks on the emptiest agent,
+// standing tasks there, and tasks in the smallest hole although they leave an unusable rest.
+func TestPlacementKeepsWideHoles(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		free       []uint64 // cores of each agent beside standing tasks
+		seen, wide uint64   // cores of the tasks seen before, and of those submitted afterwards
+		step       *wire.Step
+		wideTasks  uint32
+	}{
+		{"small tasks", []uint64{12, 34}, 0, 34, &wire.Step{Count: 6, CpuMillis: 2000, EstimateMs: 5000}, 1},
+		{"standing task", []uint64{12, 34}, 0, 34, &wire.Step{Count: 1, CpuMillis: 12000, EstimateMs: 500, Standing: true, Image: "new"}, 1},
+		{"task that leaves a rest", []uint64{37, 26, 0}, 24, 24, &wire.Step{Count: 1, CpuMillis: 13000, EstimateMs: 5000}, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(1, len(c.free), true, faults{enabled: disabled(drive.FragmentationAware)})
+			for i, k := range sortedKeys(s.agents) {
+				s.agents[k].record.CpuMillis, s.agents[k].record.Labels = 64000, []string{k}
+				s.submitJob(&wire.Step{Count: 1, CpuMillis: 64000 - c.free[i]*1000, EstimateMs: 500, Standing: true, RequiredLabel: k, Image: k})
+			}
+			s.run(4*time.Second, 0)
+			for range 3 * min(c.seen, 1) {
+				s.submitJob(&wire.Step{Count: 2, CpuMillis: c.seen * 1000, EstimateMs: 300})
+				s.run(time.Second, 0)
+			}
+			s.submitJob(c.step)
+			s.run(300*time.Millisecond, 0)
+			s.submitJob(&wire.Step{Count: c.wideTasks, CpuMillis: c.wide * 1000, EstimateMs: 1000})
+			s.run(3*time.Second, 0)
+			assertEndsWithin(t, s, s.jobs[len(s.jobs)-1], 1300*time.Millisecond)
+		})
+	}
+}
+
 // BenchmarkTickTight measures a pass with urgent stages of 300 sizes that don't fit on a pool that
 // is full of standing tasks.
 func BenchmarkTickTight(b *testing.B) {
