--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"sycamoredeck.example/internal/base/boot"
+	"sycamoredeck.example/internal/sched/frag"
 	"sycamoredeck.example/internal/sched/tails"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/graph"
@@ -95,6 +96,11 @@
 		// ordinaryDemand is the recent peak demand of ordinary tasks by pool, in
 		// millicores.
 		ordinaryDemand map[string]float64
+		// sizeDemand is the recent demand of ordinary tasks by size class, by pool.
+		sizeDemand map[string]*frag.Demand
+		// waitingCPU is the requested CPU of the ready standing and ordinary tasks by pool, in
+		// millicores, as of the last update of sizeDemand.
+		waitingCPU map[string]float64
 		// ordinarySince is when ordinary work was first seen, by pool.
 		ordinarySince       map[string]time.Duration
 		nextDemandDecay     time.Duration
@@ -113,7 +119,9 @@
 		nextReconcile, nextPass time.Duration
 		// reservations maps standing tasks, and tasks on their final attempt, to the
 		// agent on which capacity is reserved for them.
-		reservations  map[*graph.Task]string
+		reservations map[*graph.Task]string
+		// holds are the agents held for stages that find no room, by id.
+		holds         map[string]*hold
 		advice        map[*graph.Stage]*stageAdvice
 		advicePending bool // a request is in flight
 		nextAdvice    time.Duration
@@ -174,7 +182,7 @@
 	e.queue, e.newlyReady = pendingQueue{}, nil
 	e.progress = map[*graph.Stage]*stageProgress{}
 	e.lateStages = nil
-	e.reservations = map[*graph.Task]string{}
+	e.reservations, e.holds = map[*graph.Task]string{}, nil
 	clear(e.estimates.jobs)
 	e.advice, e.advicePending = map[*graph.Stage]*stageAdvice{}, false
 	e.placementPending, e.unreachablePending, e.crashesPending, e.longPolls = false, false, false, 0
--- a/internal/sched/drive/explain.go
+++ b/internal/sched/drive/explain.go
@@ -262,6 +262,12 @@
 	if l := f.limitOf(s); l != noLimit {
 		return l
 	}
+	if !p.mayUse(s, f) {
+		return reservationLimit
+	}
+	if math.IsInf(p.healthCost(t, f), 1) {
+		return quarantineLimit
+	}
 	if p.engine.advicePolicyOf(s) != nil {
 		if _, allowed := p.engine.ticketFor(s, f.agent.record.Id); !allowed {
 			return adviceLimit
@@ -273,6 +279,8 @@
 		return interferenceLimit
 	case t.OnFinalAttempt() && !f.empty() && !p.summaries[p.engine.poolOf(s.Job)].allowsFinalAttempt():
 		return finalAttemptLimit
+	case s.Standing() && t.Run == 0 && !p.leavesHoles(s, f):
+		return reservationLimit
 	case !math.IsInf((&rating{free: f, cost: cost}).costOf(t), 1):
 		return noLimit
 	case t.OnFinalAttempt():
--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -84,7 +84,7 @@
 	}
 	change := t.Record(e.now, healthAgent(a), healthJob(r.task), health.Outcome{Failed: failed, StartedAt: startedAt})
 	if !failed && e.now-startedAt >= minSpeedTime && e.indicatesSpeed(r) {
-		t.RecordDuration(e.now, healthAgent(a), healthJob(r.task), float64(e.now-startedAt)/float64(e.expectedDuration(r)))
+		t.RecordDuration(e.now, healthAgent(a), healthJob(r.task), float64(e.now-startedAt)/float64(e.expectedRunTime(r)))
 	}
 	e.applyHealthChange(r, change)
 }
@@ -214,7 +214,7 @@
 	if elapsed < minSpeedTime {
 		return
 	}
-	r.expectedDuration = e.expectedDuration(r)
+	r.expectedDuration = e.expectedRunTime(r)
 	expected := float64(elapsed) / float64(r.expectedDuration)
 	if expected < minSpeedShare {
 		return
@@ -225,10 +225,11 @@
 	e.health.tracker.RecordProgress(e.now, healthAgent(r.agent), healthJob(r.task), r.slowness)
 }
 
-// expectedDuration returns the expected run time of a run on a sound agent in its rack.
-func (e *Engine) expectedDuration(r *run) time.Duration {
+// expectedRunTime returns the expected run time of a run on a sound agent in its rack.
+func (e *Engine) expectedRunTime(r *run) time.Duration {
 	s := r.task.Stage
-	d := float64(declaredDuration(s)) * e.durationFactor(s)
+	duration, _ := e.expectedDuration(s)
+	d := float64(duration)
 	if s.Step.DataRack != "" && s.Step.DataRack != r.agent.record.Rack {
 		d *= e.options.OtherRackFactor
 	}
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -30,8 +30,17 @@
 		engine     *Engine
 		freeByPool map[string][]*freeResources
 		summaries  map[string]*poolSummary // by pool
-		wallTime   time.Time
-		placed     []*wire.RunPlacement
+		// tight are the pools in which placement considers fragmentation.
+		tight        map[string]*tightPool
+		wallTime     time.Time
+		placed       []*wire.RunPlacement
+		holdSearches int // searches for an agent to hold
+		// holders are the stages for which agents are held.
+		holders map[*graph.Stage]bool
+		// heldBack holds, by task class, the latest task that fits on no agent but held
+		// ones; lastHeldBack tells whether the latest search that found none left one out.
+		heldBack     map[int]heldBackTask
+		lastHeldBack bool
 		// unplaceable holds, by task class, the size of the latest task that fit on no
 		// agent in this pass; zero if there is none.
 		unplaceable []taskSize
@@ -65,6 +74,7 @@
 	e.queue.each(func(r *rankedStage) bool {
 		before := len(p.placed)
 		p.placeStage(r)
+		p.findRoom(r)
 		if len(p.placed) > before {
 			e.progress[r.stage].recordProposal(e.now)
 			e.logPlaced(r, p.placed[before:])
@@ -87,6 +97,8 @@
 	for k, fs := range p.freeByPool {
 		p.summaries[k] = summarize(fs)
 	}
+	p.tight = e.tightPools(p.summaries)
+	p.updateHolds()
 	return p
 }
 
@@ -145,7 +157,13 @@
 	case advised:
 		p.placeTasks(s, candidates)
 	case !p.placeTasks(s, candidates) && s.Step.SpreadLimit == 0 && s.Step.RequiredLabel == "":
-		p.unplaceable[r.class] = taskSizeOf(s.Step)
+		// A task that fits on a held agent says nothing about all others of its class: the
+		// agent may be held for one of them, or they may end in time.
+		if p.lastHeldBack {
+			p.recordHeldBack(r)
+		} else {
+			p.unplaceable[r.class] = taskSizeOf(s.Step)
+		}
 	}
 }
 
@@ -162,6 +180,10 @@
 			return true
 		}
 		free := sr.best(t)
+		if free != nil && s.Standing() && t.Run == 0 && !p.leavesHoles(s, free) {
+			p.recordHeldBackStanding(s, free)
+			return true
+		}
 		if t.OnFinalAttempt() && !summary.allowsFinalAttempt() && (free == nil || !free.empty()) {
 			continue
 		}
@@ -183,6 +205,7 @@
 				p.reserveForStanding(t, candidates)
 			}
 		case sr.exhausted():
+			p.lastHeldBack = sr.heldBack
 			return false
 		}
 	}
@@ -212,8 +235,12 @@
 // known to fit on no agent in this pass. Under overload this saves a search for most stages.
 func (p *pass) knownUnplaceable(r *rankedStage) bool {
 	size, step := p.unplaceable[r.class], r.stage.Step
-	return size != taskSize{} && step.CpuMillis >= size.cpuMillis && step.MemoryMb >= size.memoryMB && step.Accelerators >= size.accelerators &&
-		!step.Gang && !r.advised
+	return size != taskSize{} && size.fitsWhere(step) && !step.Gang && !r.advised || p.knownHeldBack(r)
+}
+
+// fitsWhere reports whether a task of this size fits wherever one of the step does.
+func (s taskSize) fitsWhere(step *wire.Step) bool {
+	return step.CpuMillis >= s.cpuMillis && step.MemoryMb >= s.memoryMB && step.Accelerators >= s.accelerators
 }
 
 // poolOf returns the pool of a job: that of its queue, or the one recorded at submission
@@ -228,6 +255,7 @@
 }
 
 func (p *pass) assume(t *graph.Task, free *freeResources, number uint32) {
+	p.recordTaken(t.Stage, free)
 	free.assume(t)
 	if summary := p.summaries[p.engine.poolOf(t.Stage.Job)]; summary != nil {
 		summary.assume(t.Stage)
@@ -280,10 +308,17 @@
 		if !p.engine.enabled(GroupSimilar) {
 			similar = 0
 		}
-		return cost - similarityGain*similar - free.cpuMillis/max(free.capacityMillis, 1)
+		cost -= similarityGain * similar
+		if t := p.tightPoolOf(s); t != nil {
+			return cost + t.cost(p, s, free)
+		}
+		return cost - free.cpuMillis/max(free.capacityMillis, 1)
 	}
 	if p.engine.enabled(ContentionAware) {
 		cost += contentionCost * free.contention(defaultCPU(step))
 	}
+	if t := p.tightPoolOf(s); t != nil {
+		return cost + t.cost(p, s, free)
+	}
 	return cost - 0.5*free.cpuMillis/max(free.capacityMillis, 1)
 }
