Agents held for wide stages and preemption for memory are removed again

The reserve by size class is limited by the holes of each agent instead of those of one piece as large as the pool, and a standing task that it holds back isn't searched for again in the same pass. Contention no longer evicts members of gangs and tasks that need a label, which would find no other agent.

--- a/internal/sched/drive/capacity.go
+++ b/internal/sched/drive/capacity.go
@@ -36,11 +36,7 @@
 				domains = append(domains, d)
 			}
 			e.addCapacity(d, a)
-			s := reserved[a.record.Id]
-			if h := e.holds[a.record.Id]; s == nil && h != nil {
-				s = h.stage
-			}
-			if s != nil {
+			if s := reserved[a.record.Id]; s != nil {
 				d.Reservations = append(d.Reservations, &wire.AgentReservation{Agent: a.record.Id, Job: s.Job.ID, Occurrence: s.Occurrence, Step: s.Index})
 			}
 		}
--- a/internal/sched/drive/contention.go
+++ b/internal/sched/drive/contention.go
@@ -28,12 +28,14 @@
 	if !e.enabled(ContentionAware) || e.expectedUtilization(a) <= contendedUtilization {
 		return false
 	}
-	excess := e.expectedUtilization(a) - maxUtilization
+	expected := e.expectedUtilization(a)
+	excess := expected - maxUtilization
 	runs := throttleableRuns(a)
 	for i := len(runs) - 1; i >= 0 && excess > 0; i-- {
 		r := runs[i]
-		if !r.task.Stage.Step.Checkpointable {
-			continue
+		step := r.task.Stage.Step
+		if !step.Checkpointable || step.Gang || step.RequiredLabel != "" {
+			continue // it loses its work, or may find no other agent
 		}
 		excess -= r.currentShare()
 		e.evict(r, "agent's CPU is overcommitted")
@@ -43,7 +45,7 @@
 	}
 	if evicted {
 		a.throttleChangedAt = e.now
-		e.options.Logger.Info("runs evicted for contention", "agent", a.record.Id, "expected_utilization", e.expectedUtilization(a), "excess", excess)
+		e.options.Logger.Info("runs evicted for contention", "agent", a.record.Id, "expected_utilization", expected)
 	}
 	return evicted
 }
--- a/internal/sched/drive/durations.go
+++ b/internal/sched/drive/durations.go
@@ -122,3 +122,8 @@
 func declaredDuration(s *graph.Stage) time.Duration {
 	return time.Duration(s.Step.EstimateMs) * time.Millisecond
 }
+
+// expectedDuration returns the expected run time of the tasks of a stage, false if it is unknown.
+func (e *Engine) expectedDuration(s *graph.Stage) (time.Duration, bool) {
+	return time.Duration(float64(declaredDuration(s)) * e.durationFactor(s)), s.Step.EstimateMs > 0 && !s.Standing()
+}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -119,9 +119,7 @@
 		nextReconcile, nextPass time.Duration
 		// reservations maps standing tasks, and tasks on their final attempt, to the
 		// agent on which capacity is reserved for them.
-		reservations map[*graph.Task]string
-		// holds are the agents held for stages that find no room, by id.
-		holds         map[string]*hold
+		reservations  map[*graph.Task]string
 		advice        map[*graph.Stage]*stageAdvice
 		advicePending bool // a request is in flight
 		nextAdvice    time.Duration
@@ -182,7 +180,7 @@
 	e.queue, e.newlyReady = pendingQueue{}, nil
 	e.progress = map[*graph.Stage]*stageProgress{}
 	e.lateStages = nil
-	e.reservations, e.holds = map[*graph.Task]string{}, nil
+	e.reservations = map[*graph.Task]string{}
 	clear(e.estimates.jobs)
 	e.advice, e.advicePending = map[*graph.Stage]*stageAdvice{}, false
 	e.placementPending, e.unreachablePending, e.crashesPending, e.longPolls = false, false, false, 0
--- a/internal/sched/drive/explain.go
+++ b/internal/sched/drive/explain.go
@@ -262,9 +262,6 @@
 	if l := f.limitOf(s); l != noLimit {
 		return l
 	}
-	if !p.mayUse(s, f) {
-		return reservationLimit
-	}
 	if math.IsInf(p.healthCost(t, f), 1) {
 		return quarantineLimit
 	}
--- a/internal/sched/drive/fragmentation.go
+++ b/internal/sched/drive/fragmentation.go
@@ -32,6 +32,9 @@
 	meanCapacity float64
 	// reserve is nil until the pass considers the first new standing task.
 	reserve *frag.Reserve
+	// heldBack is the smallest request of a new standing task, in millicores, that the
+	// reserve has held back in this pass; 0 if none. Larger ones aren't searched for.
+	heldBack uint64
 }
 
 // tightPools returns the tight pools by name, none if the feature is off.
@@ -118,9 +121,9 @@
 	}
 	if t.reserve == nil {
 		pool := p.engine.poolOf(s.Job)
-		t.reserve = frag.NewReserve(t.demand, reserveFactor, p.summaries[pool].capacityMillis*maxReserveShare)
+		t.reserve = frag.NewReserve(t.demand, reserveFactor, maxReserveShare)
 		for _, f := range p.freeByPool[pool] {
-			t.reserve.Add(f.withoutStanding())
+			t.reserve.Add(f.withoutStanding(), f.capacityMillis)
 		}
 	}
 	return t.reserve.Allows(free.withoutStanding(), float64(s.Step.CpuMillis))
@@ -140,9 +143,19 @@
 	return t == nil || t.leavesHoles(p, s, free)
 }
 
-// recordHeldBackStanding records that a new standing task waits for the reserve by size class.
-func (p *pass) recordHeldBackStanding(s *graph.Stage, free *freeResources) {
+// knownHeldBack reports whether a new standing task is known to wait for the reserve by size class.
+func (p *pass) knownHeldBack(t *graph.Task) bool {
+	if !t.Stage.Standing() || t.Run > 0 {
+		return false
+	}
+	pool := p.tightPoolOf(t.Stage)
+	return pool != nil && pool.heldBack > 0 && t.Stage.Step.CpuMillis >= pool.heldBack
+}
+
+// recordHeldBack records that a new standing task waits for the reserve by size class.
+func (p *pass) recordHeldBack(s *graph.Stage, free *freeResources) {
 	standingHeldBack.Inc()
+	p.tightPoolOf(s).heldBack = s.Step.CpuMillis
 	p.engine.options.Logger.Debug("standing task held back for wide tasks", "job", s.Job.ID, "step", s.Index, "cpu", s.Step.CpuMillis,
 		"agent", free.agent.record.Id, "free_cpu", free.withoutStanding())
 }
--- a/internal/sched/drive/fragmentation_test.go
+++ b/internal/sched/drive/fragmentation_test.go
@@ -159,3 +159,13 @@
 		})
 	}
 }
+
+// assertEndsWithin asserts that a job has ended within a time.
+func assertEndsWithin(t *testing.T, s *sim, id string, limit time.Duration) {
+	t.Helper()
+	j := s.graph.Job(id)
+	assert.Equal(t, j.State, wire.WorkState_WORK_STATE_COMPLETED, "job %s", id)
+	took := j.EndedAt.Sub(j.AcceptedAt)
+	assert.Assert(t, took <= limit, "job %s took %v, limit %v", id, took, limit)
+	assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
+}
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -20,11 +20,9 @@
 	contentionEvictions = metrics.NewCounter("sycamoredeck_contention_evictions_total")
 	opportunisticHalts  = metrics.NewCounter("sycamoredeck_opportunistic_halts_total")
 	reportsIgnored      = metrics.NewCounter("sycamoredeck_agent_reports_ignored_total")
-	// standingHeldBack counts the passes in which the reserve by size class held back a new
-	// standing task.
+	// standingHeldBack counts how often the reserve by size class held back new standing
+	// tasks of a stage, once per stage and pass.
 	standingHeldBack = metrics.NewCounter("sycamoredeck_standing_held_back_total")
-	agentsHeld       = metrics.NewCounter("sycamoredeck_agents_held_total")
-	runsPreempted    = metrics.NewCounter("sycamoredeck_runs_preempted_for_memory_total")
 	// staleReports counts heartbeats of incarnations that were dropped or have a successor,
 	// completionsSkipped completions that were skipped by their number although their run is
 	// considered present.
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -31,16 +31,9 @@
 		freeByPool map[string][]*freeResources
 		summaries  map[string]*poolSummary // by pool
 		// tight are the pools in which placement considers fragmentation.
-		tight        map[string]*tightPool
-		wallTime     time.Time
-		placed       []*wire.RunPlacement
-		holdSearches int // searches for an agent to hold
-		// holders are the stages for which agents are held.
-		holders map[*graph.Stage]bool
-		// heldBack holds, by task class, the latest task that fits on no agent but held
-		// ones; lastHeldBack tells whether the latest search that found none left one out.
-		heldBack     map[int]heldBackTask
-		lastHeldBack bool
+		tight    map[string]*tightPool
+		wallTime time.Time
+		placed   []*wire.RunPlacement
 		// unplaceable holds, by task class, the size of the latest task that fit on no
 		// agent in this pass; zero if there is none.
 		unplaceable []taskSize
@@ -74,7 +67,6 @@
 	e.queue.each(func(r *rankedStage) bool {
 		before := len(p.placed)
 		p.placeStage(r)
-		p.findRoom(r)
 		if len(p.placed) > before {
 			e.progress[r.stage].recordProposal(e.now)
 			e.logPlaced(r, p.placed[before:])
@@ -98,7 +90,6 @@
 		p.summaries[k] = summarize(fs)
 	}
 	p.tight = e.tightPools(p.summaries)
-	p.updateHolds()
 	return p
 }
 
@@ -157,13 +148,7 @@
 	case advised:
 		p.placeTasks(s, candidates)
 	case !p.placeTasks(s, candidates) && s.Step.SpreadLimit == 0 && s.Step.RequiredLabel == "":
-		// A task that fits on a held agent says nothing about all others of its class: the
-		// agent may be held for one of them, or they may end in time.
-		if p.lastHeldBack {
-			p.recordHeldBack(r)
-		} else {
-			p.unplaceable[r.class] = taskSizeOf(s.Step)
-		}
+		p.unplaceable[r.class] = taskSizeOf(s.Step)
 	}
 }
 
@@ -179,9 +164,12 @@
 		if s.Standing() && t.Run == 0 && p.engine.enabled(ReserveForOrdinary) && !p.leavesReserve(s) {
 			return true
 		}
+		if p.knownHeldBack(t) {
+			return true
+		}
 		free := sr.best(t)
 		if free != nil && s.Standing() && t.Run == 0 && !p.leavesHoles(s, free) {
-			p.recordHeldBackStanding(s, free)
+			p.recordHeldBack(s, free)
 			return true
 		}
 		if t.OnFinalAttempt() && !summary.allowsFinalAttempt() && (free == nil || !free.empty()) {
@@ -205,7 +193,6 @@
 				p.reserveForStanding(t, candidates)
 			}
 		case sr.exhausted():
-			p.lastHeldBack = sr.heldBack
 			return false
 		}
 	}
@@ -235,7 +222,7 @@
 // known to fit on no agent in this pass. Under overload this saves a search for most stages.
 func (p *pass) knownUnplaceable(r *rankedStage) bool {
 	size, step := p.unplaceable[r.class], r.stage.Step
-	return size != taskSize{} && size.fitsWhere(step) && !step.Gang && !r.advised || p.knownHeldBack(r)
+	return size != taskSize{} && size.fitsWhere(step) && !step.Gang && !r.advised
 }
 
 // fitsWhere reports whether a task of this size fits wherever one of the step does.
--- a/internal/sched/drive/progress.go
+++ b/internal/sched/drive/progress.go
@@ -6,8 +6,6 @@
 
 // stageProgress is when a stage reached each step on the way to its first started run.
 type stageProgress struct {
-	// nextRoomSearch is the earliest time of the next search for an agent to hold.
-	nextRoomSearch time.Duration
 	// readyAt is when it was first seen with tasks to place, proposedAt when its first
 	// placement was proposed, and committedAt when that was committed.
 	readyAt, proposedAt, committedAt time.Duration
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -62,8 +62,7 @@
 	stopPending bool // a stop order is in flight
 	nextStop    time.Duration
 
-	checkpoint      string        // the latest that the agent reported
-	checkpointAt    time.Duration // when the agent first reported it
+	checkpoint      string // the latest that the agent reported
 	progressPercent int
 	progressAt      time.Duration
 	slowness        float64 // its run time relative to the expected one, by its latest progress; 0 if unknown
@@ -99,8 +98,8 @@
 	if s.ProgressPercent != r.progressPercent {
 		r.progressPercent, r.progressAt = s.ProgressPercent, now
 	}
-	if s.Checkpoint != "" && s.Checkpoint != r.checkpoint {
-		r.checkpoint, r.checkpointAt = s.Checkpoint, now
+	if s.Checkpoint != "" {
+		r.checkpoint = s.Checkpoint
 	}
 	r.usage, r.usageAt = s.Usage, now
 	r.confirm(now)
--- a/internal/sched/drive/search.go
+++ b/internal/sched/drive/search.go
@@ -31,9 +31,7 @@
 		next        int // index of the next agent to rate
 		remaining   int // agents that weren't considered
 		sampleLimit int // number of ratings before the best is taken
-		// heldBack indicates that an agent was left out since it is held for another stage.
-		heldBack bool
-		ratings  []rating
+		ratings     []rating
 	}
 
 	// rating is the cost of placing a task on a feasible agent.
@@ -108,7 +106,7 @@
 	before := sr.remaining
 	for sr.remaining > 0 && len(sr.ratings) < sr.sampleLimit {
 		free := sr.candidates[sr.next]
-		if sr.feasible(free) {
+		if free.fits(sr.stage) {
 			if cost := sr.pass.cost(sr.stage, free); !math.IsInf(cost, 1) {
 				sr.ratings = append(sr.ratings, rating{free, sr.next, cost})
 			}
@@ -165,7 +163,7 @@
 			continue
 		}
 		cost := math.Inf(1)
-		if sr.feasible(free) {
+		if free.fits(sr.stage) {
 			cost = sr.pass.cost(sr.stage, free)
 		}
 		if !math.IsInf(cost, 1) {
@@ -179,17 +177,5 @@
 	}
 }
 
-// feasible reports whether a task of the stage may be placed on an agent.
-func (sr *search) feasible(free *freeResources) bool {
-	if !free.fits(sr.stage) {
-		return false
-	}
-	if !sr.pass.mayUse(sr.stage, free) {
-		sr.heldBack = true
-		return false
-	}
-	return true
-}
-
 // exhausted reports whether no agent fits any task of the stage.
 func (sr *search) exhausted() bool { return len(sr.ratings) == 0 && sr.remaining == 0 }
