--- a/internal/front/retry/after.go
+++ b/internal/front/retry/after.go
@@ -14,14 +14,14 @@
 	// repeatedly, so that waiting for it is no better than returning.
 	longElection = 3 * time.Second
 	// Shortest and longest are the bounds of the time after which callers return. Callers
-	// count whole seconds, and retry four times: returns after 1, 2, 4 and 5 s outlast a
-	// loss of power of 9.5 s.
+	// count whole seconds, and retry four times: with returns after 1, 2, 4 and 5 s, those
+	// who wait for that long outlast a loss of power of 9.5 s.
 	Shortest = 1 * time.Second
 	longest  = 5 * time.Second
-	// returnsPerSecond is how many callers of one entry return within a second before
+	// retriesPerSecond is how many callers of one entry return within a second before
 	// later ones are told to return a second later. It is far above the rate of one entry's
 	// callers, so that it only delays callers who are refused all at once.
-	returnsPerSecond = 20
+	retriesPerSecond = 20
 )
 
 // Outage is a time without a leader that answers, as an entry sees it. It answers callers
@@ -44,12 +44,12 @@
 	return o.Quorum && waited < ElectionWait && (o.Lasted < longElection || left < Shortest)
 }
 
-// ReturnAfter returns after which time the next refused caller should return, in whole
+// RetryAfter returns after which time the next refused caller should return, in whole
 // seconds: after an election, or after as much time as the loss of the quorum has lasted
-// so far. Callers who are refused faster than returnsPerSecond return later by their
+// so far. Callers who are refused faster than retriesPerSecond return later by their
 // position, so that those who were refused first return first. A caller who waits for the
 // time left returns within it, as a later return is of no use to it.
-func (o Outage) ReturnAfter(left time.Duration) time.Duration {
+func (o Outage) RetryAfter(left time.Duration) time.Duration {
 	return min(o.expected(), max(left.Truncate(time.Second), Shortest))
 }
 
@@ -58,8 +58,8 @@
 		return Shortest
 	}
 	expected := min(max(ceilSeconds(o.Lasted), Shortest), longest)
-	excess := float64(o.Refused) - returnsPerSecond*o.Lasted.Seconds()
-	spread := time.Duration(max(excess, 0)/returnsPerSecond) * time.Second
+	excess := float64(o.Refused) - retriesPerSecond*o.Lasted.Seconds()
+	spread := time.Duration(max(excess, 0)/retriesPerSecond) * time.Second
 	return min(expected+min(spread, expected), longest)
 }
 
--- a/internal/front/retry/after_test.go
+++ b/internal/front/retry/after_test.go
@@ -42,20 +42,20 @@
 		{Outage{Lasted: 1001 * time.Millisecond}, 2 * time.Second},
 		{Outage{Lasted: 4 * time.Second}, 4 * time.Second},
 		{Outage{Lasted: time.Minute}, 5 * time.Second},
-		{Outage{Lasted: time.Second, Refused: returnsPerSecond}, time.Second},
-		{Outage{Lasted: time.Second, Refused: 2 * returnsPerSecond}, 2 * time.Second},
-		{Outage{Lasted: 2 * time.Second, Refused: 1000 * returnsPerSecond}, 4 * time.Second},
+		{Outage{Lasted: time.Second, Refused: retriesPerSecond}, time.Second},
+		{Outage{Lasted: time.Second, Refused: 2 * retriesPerSecond}, 2 * time.Second},
+		{Outage{Lasted: 2 * time.Second, Refused: 1000 * retriesPerSecond}, 4 * time.Second},
 	}
 	for _, c := range cases {
-		assert.Equal(t, c.outage.ReturnAfter(time.Minute), c.want, "%+v", c.outage)
+		assert.Equal(t, c.outage.RetryAfter(time.Minute), c.want, "%+v", c.outage)
 	}
 	for left, want := range map[time.Duration]time.Duration{2900 * time.Millisecond: 2 * time.Second, 400 * time.Millisecond: Shortest} {
-		assert.Equal(t, Outage{Lasted: time.Minute}.ReturnAfter(left), want, "a caller with %v left", left)
+		assert.Equal(t, Outage{Lasted: time.Minute}.RetryAfter(left), want, "a caller with %v left", left)
 	}
 	returnsAt := time.Duration(0)
 	for i := range 200 { // in an instant, and then at a steady rate
 		o := Outage{Refused: i, Lasted: time.Duration(max(i-100, 0)) * 20 * time.Millisecond}
-		at := o.Lasted + o.ReturnAfter(time.Minute)
+		at := o.Lasted + o.RetryAfter(time.Minute)
 		assert.Assert(t, at >= returnsAt.Truncate(time.Second), "caller %d returns at %v, an earlier one at %v", i, at, returnsAt)
 		returnsAt = at
 	}
--- a/internal/front/uplink/leader.go
+++ b/internal/front/uplink/leader.go
@@ -38,9 +38,9 @@
 		// Probe sends the request only on a connection that is known to answer. The outcome
 		// is unknown only if the request was written and not answered.
 		Probe bool
-		// AdviseReturn adds to the error of a call that was not executed after which time
+		// AdviseRetry adds to the error of a call that was not executed after which time
 		// the caller should return, as google.rpc.RetryInfo.
-		AdviseReturn bool
+		AdviseRetry bool
 		// Uncertain is set if some attempt may have been executed, or may still be.
 		Uncertain bool
 
@@ -87,7 +87,7 @@
 		return true
 	}
 	now := u.options.Clock.Now()
-	if c.AdviseReturn {
+	if c.AdviseRetry {
 		return u.currentOutage().Holds(now.Sub(c.startedAt), timeLeft(ctx, now))
 	}
 	return u.quorumResponsive() && now.Sub(c.startedAt) < electionWait
@@ -181,7 +181,7 @@
 	switch {
 	case c.Uncertain:
 		return status.Error(codes.Aborted, "outcome unknown, ask again with the same key: "+text)
-	case c.AdviseReturn:
+	case c.AdviseRetry:
 		return u.refuse(text, timeLeft(ctx, u.options.Clock.Now()))
 	default:
 		return status.Error(codes.Unavailable, text)
--- a/internal/front/uplink/outage.go
+++ b/internal/front/uplink/outage.go
@@ -33,7 +33,7 @@
 func (u *Uplink) trackOutage(now time.Time) {
 	rs, known := u.replicas[u.leaderAddress]
 	switch {
-	case known && rs.response.GetLeaderAddress() == u.leaderAddress && rs.failedHellos == 0 && !rs.probeFailed:
+	case known && rs.response.GetLeaderAddress() == u.leaderAddress && rs.failedHellos == 0 && rs.probeFailedAt.IsZero():
 		u.outage = outageRecord{}
 	case u.outage.since.IsZero():
 		u.outage.since = now
@@ -65,9 +65,9 @@
 		counter = refusedInElection
 	}
 	counter.Inc()
-	after := o.ReturnAfter(left)
+	after := o.RetryAfter(left)
 	u.options.Logger.Info("request refused", "quorum", o.Quorum, "lasted_ms", o.Lasted.Milliseconds(), "refused_before", o.Refused,
-		"return_after_s", after.Seconds(), "error", text)
+		"retry_after_s", after.Seconds(), "error", text)
 	s := status.New(codes.Unavailable, text)
 	if detailed, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(after)}); err == nil {
 		s = detailed
@@ -75,13 +75,25 @@
 	return s.Err()
 }
 
+// probeMemory is how long a failed probe counts against a quorum. The entry itself may have been paused, so
+// that all probes failed, and hellos are long polls that tell later.
+const probeMemory = time.Second
+
+// probeFailed reports whether the replica has lately not answered a probe.
+func (rs replicaStatus) probeFailed(now time.Time) bool {
+	return !rs.probeFailedAt.IsZero() && now.Sub(rs.probeFailedAt) < probeMemory
+}
+
 // recordProbe records whether a replica answered a probe, until its next hello.
 func (u *Uplink) recordProbe(address string, answered bool) {
 	now := u.options.Clock.Now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if rs, known := u.replicas[address]; known {
-		rs.probeFailed = !answered
+		rs.probeFailedAt = now
+		if answered {
+			rs.probeFailedAt = time.Time{}
+		}
 		u.replicas[address] = rs
 	}
 	u.trackOutage(now)
--- a/internal/front/uplink/probe_test.go
+++ b/internal/front/uplink/probe_test.go
@@ -97,7 +97,7 @@
 		time time.Duration
 		want codes.Code
 	}{
-		{"with probe", Call{Probe: true, AdviseReturn: true}, time.Minute, codes.Unavailable},
+		{"with probe", Call{Probe: true, AdviseRetry: true}, time.Minute, codes.Unavailable},
 		{"without probe", Call{}, 300 * time.Millisecond, codes.Aborted},
 	}
 	for _, c := range cases {
@@ -117,7 +117,7 @@
 			for range callers {
 				err := <-errs
 				assert.Equal(t, status.Code(err), c.want, "%v", err)
-				if c.call.AdviseReturn {
+				if c.call.AdviseRetry {
 					info := status.Convert(err).Details()[0].(*errdetails.RetryInfo)
 					assert.Equal(t, info.RetryDelay.AsDuration(), time.Second)
 					assert.NilError(t, ctx.Err(), "refused only at the end of the caller's time")
@@ -137,7 +137,7 @@
 	})
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
-	call := &Call{Probe: true, AdviseReturn: true}
+	call := &Call{Probe: true, AdviseRetry: true}
 	err := submit(ctx, u, call)
 	assert.Equal(t, status.Code(err), codes.Aborted, "%v", err)
 	assert.Assert(t, call.Uncertain)
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -73,8 +73,9 @@
 		entries      map[string]*wire.EntryStatus
 		receivedAt   time.Time
 		failedHellos int // since receivedAt
-		// probeFailed indicates that it didn't answer the last probe since receivedAt.
-		probeFailed bool
+		// probeFailedAt is when it didn't answer the last probe since receivedAt; zero if it
+		// did.
+		probeFailedAt time.Time
 	}
 
 	// Uplink tracks the control replicas. It is safe for concurrent use once Run is started.
@@ -444,7 +445,8 @@
 // with a valid status, fewer than maxFailedHellos failures and no failed probe. It returns
 // true if no voter is known.
 func (u *Uplink) quorumResponsive() bool {
-	responsive, voters := u.countVoters(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos && !rs.probeFailed })
+	now := u.options.Clock.Now()
+	responsive, voters := u.countVoters(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos && !rs.probeFailed(now) })
 	return voters == 0 || responsive > voters/2
 }
 
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -218,11 +218,11 @@
 
 // commitForJob commits a command for the job that a target names. The result's error is
 // graph.ErrUnknownQueue if the target names no queue, that of command, or the refusal of
-// admission, which may be nil.
+// admission. admission may be nil.
 //
 // A leader with a valid lease looks up the queue where it proposes the command, since each
 // turn of the event loop that a job waits for delays its start. Otherwise, and before it
-// refuses anything, it confirms its leadership first. Without a valid lease every job is
+// reports an unknown queue or an invalid command, it confirms its leadership first. Without a valid lease every job is
 // admitted, since the next leader may know of another submission with its id.
 func (s *workService) commitForJob(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error), admission func(j jobName, term uint64, leased bool) *admit.Refusal) (jobName, state.Result, error) {
 	if err := s.checkReady(); err != nil {
@@ -259,7 +259,7 @@
 		case r := <-refused:
 			return <-proposed, state.Result{Err: r}, nil
 		default:
-			return s.commitConfirmed(ctx, target, command)
+			return s.commitConfirmed(ctx, target, command, admission)
 		}
 	}
 	var job jobName
@@ -270,10 +270,16 @@
 	return job, result, statusError(err)
 }
 
-// commitConfirmed is commitForJob after a linearizable read.
-func (s *workService) commitConfirmed(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error)) (job jobName, result state.Result, err error) {
+// commitConfirmed is commitForJob after a linearizable read. It admits every job, and records
+// that with admission.
+func (s *workService) commitConfirmed(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error), admission func(j jobName, term uint64, leased bool) *admit.Refusal) (job jobName, result state.Result, err error) {
 	known := false
-	if err := s.read(ctx, func() { job, known = s.matchJob(target) }); err != nil {
+	match := func() {
+		if job, known = s.matchJob(target); known && admission != nil {
+			admission(job, s.node.Core().Status().Term, false)
+		}
+	}
+	if err := s.read(ctx, match); err != nil {
 		return jobName{}, result, err
 	}
 	if !known {
--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -94,9 +94,11 @@
 // submission and cancellation, and each inspection that isn't answered.
 func (e *Entry) leaderProxy() proxy.Leader {
 	p := proxy.WithRetry(func(ctx context.Context, once func(context.Context, proxy.Conn) error) error {
-		return e.callLeader(ctx, &uplink.Call{AdviseReturn: e.features[adaptiveRetryAfter]}, once)
+		return e.callLeader(ctx, &uplink.Call{}, once)
 	})
-	inspect := p.Inspect
+	inspect := proxy.WithRetry(func(ctx context.Context, once func(context.Context, proxy.Conn) error) error {
+		return e.callLeader(ctx, &uplink.Call{AdviseRetry: e.features[adaptiveRetryAfter]}, once)
+	}).Inspect
 	submit, cancel := e.submit, e.cancel
 	p.Submit = func(ctx context.Context, r *wire.SubmitWorkRequest) (*wire.SubmitWorkResponse, error) {
 		startedAt := e.clock.Now()
@@ -131,7 +133,7 @@
 
 // changingCall returns the options of a call that changes a job.
 func (e *Entry) changingCall() *uplink.Call {
-	return &uplink.Call{Probe: e.features[probeBeforeSend], AdviseReturn: e.features[adaptiveRetryAfter]}
+	return &uplink.Call{Probe: e.features[probeBeforeSend], AdviseRetry: e.features[adaptiveRetryAfter]}
 }
 
 // submit submits a job to the leader. A refusal counts only if no earlier attempt may have
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -306,6 +306,10 @@
 	outcomes := make(chan outcome, 1)
 	done := func(r state.Result, err error) { outcomes <- outcome{r, err} }
 	propose := func() {
+		if ctx.Err() != nil {
+			done(state.Result{}, ErrUncertain) // the caller may have submitted it again since
+			return
+		}
 		command := build()
 		if command == nil {
 			done(state.Result{}, ErrNothingProposed)
--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -273,3 +273,16 @@
 	assert.Assert(t, r.hasDispatch(t, 1))
 	r.stop(t)
 }
+
+// Guards against a submission that is accepted after its caller has left and was refused elsewhere.
+func TestNothingIsProposedForCallersWhoLeft(t *testing.T) {
+	r := start(t, t.TempDir(), walog.Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	built := false
+	_, err := r.node.CommitFrom(ctx, func() *wire.Command { built = true; return openDispatchCommand(1) })
+	assert.ErrorIs(t, err, node.ErrUncertain)
+	assert.NilError(t, r.node.Do(t.Context(), func() {}))
+	assert.Assert(t, !built)
+	r.stop(t)
+}
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -115,8 +115,11 @@
 		votes map[uint64]bool
 		round uint64
 		// transferee is the target of a leadership transfer in progress, or 0.
-		transferee    uint64
-		transferTicks int
+		transferee uint64
+		// timeoutNowSent is set for the rest of the term once another replica was told to
+		// stand for election: the message may arrive after the transfer was aborted.
+		timeoutNowSent bool
+		transferTicks  int
 
 		electionElapsed, heartbeatElapsed, randomizedElectionTicks int
 		// noVoteTicks is the number of ticks during which a restarted replica grants no
@@ -272,11 +275,11 @@
 }
 
 // MayHoldLease reports whether a confirmed round gives this replica a leader lease. The leader
-// must have committed an entry of its term and be a voter itself. Then no replica that has a
-// membership without this one can be elected, or ask only others whether they have restarted:
+// must have committed an entry of its term and be a voter itself. Otherwise a replica whose
+// membership lacks this leader could be elected without asking it whether it has restarted:
 // see docs/design/restart-election.md.
 func (c *Core) MayHoldLease() bool {
-	return c.role == Leader && c.transferee == 0 && c.isVoter(c.options.ID) && c.termAt(c.commitIndex) == c.term
+	return c.role == Leader && c.transferee == 0 && !c.timeoutNowSent && c.isVoter(c.options.ID) && c.termAt(c.commitIndex) == c.term
 }
 
 // LastIndex returns the index of the last log entry.
--- a/internal/store/quorum/election.go
+++ b/internal/store/quorum/election.go
@@ -69,7 +69,7 @@
 // restarted are the incarnations of all voters if each has confirmed that it has restarted;
 // nil in all other elections.
 func (c *Core) campaign(role Role, transfer bool, restarted map[uint64]uint64) {
-	c.restart.request, c.restart.standing = 0, restarted != nil
+	c.restart.request, c.restart.campaigning = 0, restarted != nil
 	c.role = role
 	c.leader = 0
 	c.votes = map[uint64]bool{c.options.ID: true}
@@ -136,7 +136,7 @@
 
 func (c *Core) becomeLeader() {
 	c.endRestart()
-	c.role, c.leader, c.transferee = Leader, c.options.ID, 0
+	c.role, c.leader, c.transferee, c.timeoutNowSent = Leader, c.options.ID, 0, false
 	c.electionElapsed, c.heartbeatElapsed = 0, 0
 	c.peers = map[uint64]*progress{}
 	c.syncPeers()
@@ -228,5 +228,6 @@
 	if p == nil || p.match < c.LastIndex() {
 		return
 	}
+	c.timeoutNowSent = true
 	c.send(&wire.PeerMessage{Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_TIMEOUT_NOW, To: c.transferee, Term: c.term})
 }
--- a/internal/store/quorum/restart.go
+++ b/internal/store/quorum/restart.go
@@ -1,7 +1,7 @@
 // This file defines the election after a restart of all voters, Options.RestartElection.
 //
-// Its load is a loss of power of all replicas, after which each would wait for an election
-// timeout though no leader can be left. docs/design/restart-election.md has the proof.
+// After a loss of power of all replicas, each would otherwise wait for an election timeout
+// although no leader can be left. docs/design/restart-election.md has the proof.
 
 package quorum
 
@@ -13,7 +13,7 @@
 
 const (
 	// restartIntervalDivisor divides the election timeout to give the longest time between
-	// two requests. Callers notice an election of more than about a quarter of the timeout.
+	// two requests. It keeps the expected wait well below the timeout.
 	restartIntervalDivisor = 5
 	// restartHoldTicks is how long a voter that has confirmed one candidate doesn't stand
 	// itself, and confirms only candidates with lower IDs. It is at least one full tick, which
@@ -41,9 +41,9 @@
 // restartElection is the state of an election after a restart of all voters. The zero value
 // takes no part. It isn't on disk: it describes one incarnation of the process.
 type restartElection struct {
-	// untouched is true from a restart until this replica leads, accepts a message of a
+	// leaderless is true from a restart until this replica leads, accepts a message of a
 	// leader or votes for another replica. It never becomes true again.
-	untouched bool
+	leaderless bool
 	// incarnation identifies this process among all that the replica has run as.
 	incarnation uint64
 	// ticksLeft is the number of ticks until the next request.
@@ -59,13 +59,13 @@
 	// heldFor is the candidate confirmed last, for which the hold lasts holdTicks.
 	heldFor   uint64
 	holdTicks int
-	// standing is true while the latest campaign is such an election.
-	standing bool
+	// campaigning is true while the latest campaign is such an election.
+	campaigning bool
 }
 
 // startRestartElection takes part in the election after a restart of all voters.
 func (c *Core) startRestartElection() {
-	c.restart = restartElection{untouched: true, incarnation: c.randomNumber(), ticksLeft: c.restartInterval()}
+	c.restart = restartElection{leaderless: true, incarnation: c.randomNumber(), ticksLeft: c.restartInterval()}
 }
 
 // randomNumber returns a random number that isn't 0.
@@ -80,7 +80,7 @@
 func (c *Core) tickRestart() {
 	r := &c.restart
 	r.holdTicks = max(r.holdTicks-1, 0)
-	if !r.untouched || c.noVoteTicks == 0 || !c.isVoter(c.options.ID) {
+	if !r.leaderless || c.noVoteTicks == 0 || !c.isVoter(c.options.ID) {
 		return
 	}
 	r.ticksLeft--
@@ -100,14 +100,14 @@
 }
 
 // mayConfirm reports whether this replica confirms a candidate. Of several candidates that ask
-// at the same time, all others including these confirm the one with the lowest ID.
+// at the same time, all voters, including the other candidates, confirm the one with the lowest ID.
 func (c *Core) mayConfirm(candidate uint64) bool {
 	return c.restart.holdTicks == 0 || candidate <= c.restart.heldFor
 }
 
 // requestRestart asks all voters to grant an election: first whether they have restarted, and
-// then whether the incarnations that answered still exist and are still untouched. So there
-// was a moment, that of the second request, at which all voters were untouched. One round
+// then whether the incarnations that answered still exist and are still leaderless. So there
+// was a moment, that of the second request, at which all voters were leaderless. One round
 // doesn't show that: one voter's answer may be older than a leader that another has forgotten
 // by a further restart.
 func (c *Core) requestRestart(confirming map[uint64]uint64) {
@@ -160,11 +160,11 @@
 }
 
 // handleRestartRequest answers a candidate that asks whether this replica has restarted. It
-// doesn't answer if it hasn't, or is no longer untouched.
+// doesn't answer if it hasn't, or is no longer leaderless.
 func (c *Core) handleRestartRequest(m *wire.PeerMessage) {
 	r := &c.restart
 	confirms := m.AskedIndex != 0
-	if !r.untouched || !c.isVoter(c.options.ID) || confirms && (m.AskedIndex != r.incarnation || !c.mayConfirm(m.From)) {
+	if !r.leaderless || !c.isVoter(c.options.ID) || confirms && (m.AskedIndex != r.incarnation || !c.mayConfirm(m.From)) {
 		return
 	}
 	answer := &wire.PeerMessage{
@@ -186,7 +186,7 @@
 func (c *Core) handleRestartAnswer(m *wire.PeerMessage) {
 	r := &c.restart
 	switch {
-	case !r.untouched, r.request == 0, m.Round != r.request, r.term != c.term+1:
+	case !r.leaderless, r.request == 0, m.Round != r.request, r.term != c.term+1:
 		return
 	case m.Reject && m.Term > c.term:
 		c.role = Follower
@@ -202,14 +202,14 @@
 }
 
 // waivesWait reports whether this replica votes without waiting for an election timeout since
-// its restart: it is the incarnation that confirmed to the candidate, and is still untouched.
+// its restart: it is the incarnation that confirmed to the candidate, and is still leaderless.
 func (c *Core) waivesWait(m *wire.PeerMessage) bool {
-	return m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE && m.Restarted && c.restart.untouched && m.AskedIndex == c.restart.incarnation
+	return m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE && m.Restarted && c.restart.leaderless && m.AskedIndex == c.restart.incarnation
 }
 
 // endRestart ends this incarnation's part in elections after a restart of all voters.
 func (c *Core) endRestart() {
-	c.restart.untouched, c.restart.request = false, 0
+	c.restart.leaderless, c.restart.request = false, 0
 }
 
 // restartGrants returns the number of voters that have granted the latest request, or all if
@@ -223,9 +223,9 @@
 
 func (c *Core) restartPhase() RestartPhase {
 	switch {
-	case c.role == Leader && c.restart.standing:
+	case c.role == Leader && c.restart.campaigning:
 		return RestartElected
-	case !c.restart.untouched:
+	case !c.restart.leaderless || !c.isVoter(c.options.ID):
 		return RestartInactive
 	case c.noVoteTicks > 0:
 		return RestartAsking
--- a/internal/store/quorum/restart_test.go
+++ b/internal/store/quorum/restart_test.go
@@ -192,3 +192,20 @@
 	assert.NilError(t, c.Remove(1))
 	assert.Assert(t, !c.MayHoldLease())
 }
+
+// Guards against a leader that holds its lease again after an aborted transfer, while the message
+// that tells the target to stand for election may still arrive.
+func TestAbortedTransferGivesBackNoLease(t *testing.T) {
+	c := electLeader(t, nil)
+	c.Synced(c.Ready())
+	c.Step(appendAck(2, c, 1))
+	assert.Assert(t, c.MayHoldLease())
+	c.TransferLeadership()
+	assert.Assert(t, !c.MayHoldLease())
+	for range 12 { // an election timeout has 10
+		c.Tick()
+		c.Step(appendAck(2, c, 1))
+	}
+	assert.Assert(t, !c.Status().TransferringLeadership)
+	assert.Assert(t, !c.MayHoldLease())
+}
