Check the health of the agent at each start

Only starts right after a placement were checked. Repeated starts, and runs placed by an earlier leader whose start never arrived, reached agents in quarantine, and last attempts suspect ones. Engine.start checks now. The check of starts in the simulation holds under lost orders as well and is on in TestAgentHealthUnderFaults.

--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"sycamoredeck.example/internal/sched/health"
 )
@@ -95,6 +96,15 @@
 // Health returns the state of an agent.
 func (e *Engine) Health(agent string) health.State { return e.health.tracker.State(e.now, agent) }
 
+// TrialSince returns when the trial of an agent began, or will begin.
+func (e *Engine) TrialSince(agent string) time.Duration {
+	since, _ := e.health.tracker.IsolatedUntil(agent)
+	return since
+}
+
+// ProbeTime is how long a run on an agent on trial keeps further ones away.
+const ProbeTime = probeTime
+
 // AgentsVisited returns how many agents all engines have examined.
 func AgentsVisited() uint64 { return agentsVisited.Get() }
 
--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -175,7 +175,8 @@
 }
 
 // healthAllowsStart reports whether a task may still be started on the agent it was placed
-// on. The agent may have failed runs while the placement was committed.
+// on. The agent may have failed runs while the placement was committed, or while a start was
+// unanswered.
 func (e *Engine) healthAllowsStart(a *agent, t *graph.Task) bool {
 	if !e.enabled(AgentHealth) {
 		return true
--- a/internal/sched/drive/health_test.go
+++ b/internal/sched/drive/health_test.go
@@ -14,6 +14,7 @@
 	"sycamoredeck.example/internal/sched/drive"
 	"sycamoredeck.example/internal/sched/health"
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
 )
 
 // checkHealth checks that a start doesn't put a task's last attempt at risk, and that an agent on
@@ -24,13 +25,34 @@
 	}
 	a, state := s.agents[o.Agent.Address], s.engine.Health(o.Agent.Id)
 	s.check(s.failures[taskKey(o.Run)] < 2 || state == health.Sound, "the last attempt of %s starts on an agent in state %d", taskKey(o.Run), state)
+	left, limited := s.graph.AttemptsLeft(s.graph.FindTask(o.Run))
+	s.check(!limited || left > 1 || state == health.Sound, "the last attempt of %s starts on an agent in state %d", taskKey(o.Run), state)
 	s.check(state != health.Quarantined, "%s starts in quarantine", taskKey(o.Run))
-	if state == health.Trial {
+	switch {
+	case state == health.Trial && s.losesOrders:
+		s.checkProbe(o)
+	case state == health.Trial:
 		s.check(len(a.runs) == 0 && s.now > a.probedAt, "%s starts besides another run on trial", taskKey(o.Run))
 		a.probedAt = s.now
 	}
 }
 
+// checkProbe is the check of runs on trial if orders are lost or leaders change. Starts are then
+// repeated, and earlier runs may still exist. So only runs that the present leader placed during
+// the trial count, until their end is committed or ProbeTime has passed.
+func (s *sim) checkProbe(o drive.Order) {
+	probe, since := s.graph.FindTask(o.Run), max(s.engine.TrialSince(o.Agent.Id), s.leaderSince)
+	if placedAt(probe) < since {
+		return
+	}
+	for t := range s.graph.Agent(o.Agent.Id).Tasks {
+		s.check(t == probe || placedAt(t) < since || s.now-placedAt(t) >= drive.ProbeTime, "%s starts besides %s on trial", taskKey(o.Run), taskKey(t.ID()))
+	}
+}
+
+// placedAt returns when the latest run of a task was placed, in the time of the simulation.
+func placedAt(t *graph.Task) time.Duration { return time.Duration(t.PlacedAt) * time.Millisecond }
+
 var withHealth = map[drive.Feature]bool{drive.AgentHealth: true}
 
 // overload submits jobs of different sizes at a rate per second, which is more than 12 agents
@@ -215,6 +237,7 @@
 		t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
 			t.Parallel()
 			s := newSim(i, 8, true, faults{enabled: withHealth, leaderChange: 0.001, late: 0.03, lost: 0.03, crash: 0.002, partition: 0.003, leave: 0.001, cancel: 0.002, permanentLoss: 0.001, failedRun: 0.02, failingAgent: 0.2})
+			s.checksHealth = true
 			s.agents["10.0.0.1:1"].slowdown = 8
 			s.run(30*time.Second, 2)
 			for _, a := range s.agents {
@@ -224,3 +247,17 @@
 		})
 	}
 }
+
+// Guards against starts that are repeated on an agent in quarantine, and against last attempts
+// that are started on a suspect agent by a repetition or by the next leader.
+func TestRepeatedStartsAvoidFailingAgents(t *testing.T) {
+	for i := range uint64(3) {
+		t.Run(fmt.Sprint("seed ", i), func(t *testing.T) {
+			s := newSim(i, 12, true, faults{enabled: withHealth, late: 0.1, failedRun: 0.1, leaderChange: 0.002})
+			s.run(2*time.Second, 0)
+			s.fail(2)
+			s.overload(8*time.Second, 30)
+			assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
+		})
+	}
+}
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -127,10 +127,6 @@
 			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "no longer needed before the start was sent")
 			continue
 		}
-		if !e.healthAllowsStart(a, t) {
-			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "agent has failed runs since the placement")
-			continue
-		}
 		e.start(r)
 	}
 }
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -195,6 +195,10 @@
 		e.abandonStart(r, "failure domain is drained")
 		return
 	}
+	if !e.healthAllowsStart(r.agent, r.task) {
+		e.abandonStart(r, "agent has failed runs")
+		return
+	}
 	if !r.agent.leaseRenewable() || !e.capacityKnown(r.agent) {
 		// The deadline would renew the lease of an agent that may be gone, or the agent's
 		// capacity isn't known yet.
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -125,8 +125,10 @@
 		// failedRuns counts the failed runs of a task, acknowledged or not.
 		failedRuns map[string]int
 		logger     *slog.Logger
-		// checksHealth makes checkHealth check starts. It requires that no orders are lost.
+		// checksHealth makes checkHealth check starts.
 		checksHealth bool
+		// losesOrders is set if orders may be lost or late, or leaders change.
+		losesOrders bool
 		// noCheckpoints makes runs save no checkpoints.
 		noCheckpoints bool
 
@@ -155,6 +157,7 @@
 		crashingJobs: map[string]time.Duration{}, crashes: map[string]int{}, causedCrashes: map[string]int{}, otherCrashes: f.restart+f.crash+f.partition > 0, failedRuns: map[string]int{}, refusingAddresses: map[string]bool{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		failures: map[string]int{}, issuedTickets: map[string]time.Duration{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
 	}
+	s.losesOrders = f.late+f.lost+f.leaderChange > 0
 	s.graph.BootClock = func() time.Duration { return s.now }
 	s.tailLatencyOf = func(_ *modelAgent, run *modelRun) int { return int(run.step.TailTargetMs) / 2 }
 	queue := &wire.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 2}
