--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -105,7 +105,7 @@
 		ordinarySince       map[string]time.Duration
 		nextDemandDecay     time.Duration
 		nextCleanup         time.Duration
-		nextSave            time.Duration // when to persist the tail model
+		nextSave            time.Duration // when to persist the tail model and the agents in quarantine
 		savedEstimates      *wire.Learned
 		nextDemandUpdate    time.Duration
 		longPolls           int // polls in flight that wait for a completion
--- a/internal/sched/drive/persist.go
+++ b/internal/sched/drive/persist.go
@@ -13,14 +13,9 @@
 	"sycamoredeck.example/internal/schema/wire"
 )
 
-const (
-	// saveInterval is the interval at which changed estimates are committed. No more than
-	// the changes of one interval are lost with a leader.
-	saveInterval = 2 * time.Second
-	// maxTrialAge is how long after its quarantine an agent is still put on trial by a later
-	// leader. Faults of agents last some seconds.
-	maxTrialAge = 10 * time.Second
-)
+// saveInterval is the interval at which changed estimates are committed. No more than the
+// changes of one interval are lost with a leader.
+const saveInterval = 2 * time.Second
 
 // restoreEstimates loads the estimates of earlier leaders. Without the tail model every pair
 // of images would be tried again after a change of leader, including those that interfere.
@@ -44,11 +39,11 @@
 	for _, q := range e.savedEstimates.GetQuarantinedAgents() {
 		a := e.graph.Agent(q.Agent)
 		remaining := time.UnixMilli(q.UntilMs).Sub(wall)
-		if a == nil || remaining < -maxTrialAge {
+		if a == nil || remaining < -health.MaxTrial {
 			continue
 		}
 		e.health.tracker.Restore(e.now, health.Agent{ID: q.Agent, Pool: a.Record.Pool}, e.now+remaining)
-		e.options.Logger.Info("quarantine taken over", "agent", q.Agent, "for", max(remaining, 0))
+		e.options.Logger.Info("quarantine taken over", "agent", q.Agent, "duration", max(remaining, 0))
 	}
 }
 
--- a/internal/sched/health/health.go
+++ b/internal/sched/health/health.go
@@ -103,8 +103,8 @@
 
 const (
 	// quarantineThreshold is the evidence for a quarantine: two failures of different jobs
-	// in a queue where one run in twenty fails, three where one in ten does. With equal
-	// odds before, the agent is sound in fewer than one of a hundred such cases.
+	// in a queue where one run in twenty fails, three where one in ten does. With even
+	// prior odds, the agent is sound in fewer than one of a hundred such cases.
 	quarantineThreshold = 5.0
 	// suspectThreshold is the evidence of one failure in a queue where a fifth of the runs
 	// fail.
@@ -122,9 +122,9 @@
 	// agents last some seconds.
 	firstQuarantine = time.Second
 	maxQuarantine   = 8 * time.Second
-	// maxTrial is how long a trial takes at most. Without suitable tasks, or if all probes
+	// MaxTrial is how long a trial takes at most. Without suitable tasks, or if all probes
 	// fail through no fault of the agent, it has no result.
-	maxTrial = 10 * time.Second
+	MaxTrial = 10 * time.Second
 	// maxIsolatedShare is the share of a pool's agents that may be in quarantine or on
 	// trial. If more seem to fail, the agents aren't the cause.
 	maxIsolatedShare = 0.25
@@ -312,7 +312,7 @@
 func (t *Tracker) Prune(now time.Duration) (released []string) {
 	maps.DeleteFunc(t.jobs, func(_ string, j *jobRecord) bool { return now-j.seenAt > retention })
 	for id, a := range t.agents {
-		if a.isolated && now-a.until > maxTrial {
+		if a.isolated && now-a.until > MaxTrial {
 			a.release()
 			released = append(released, id)
 		}
--- a/internal/sched/health/rates.go
+++ b/internal/sched/health/rates.go
@@ -80,7 +80,7 @@
 	queueRate := (max(q.failures-own, 0) + priorRate*priorRuns) / (max(q.runs-own, 0) + priorRuns)
 	failures := 0.0
 	for _, f := range j.failures {
-		// Failures on agents that are isolated are put down to those.
+		// Failures on agents that are isolated are attributed to those agents.
 		if other := t.agents[f.agent]; f.agent != a.agent.ID && (other == nil || !other.isolated) {
 			failures += float64(f.count)
 		}
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -72,8 +72,8 @@
 		Agent string
 		// LastFailedOn is the agent of the latest failed run.
 		LastFailedOn string
-		// AvoidAgent is the agent on which it interfered with others. It is set by the
-		// leader and isn't part of the replicated state.
+		// AvoidAgent is the agent that its latest run was evicted or moved from. It is set
+		// by the leader and isn't part of the replicated state.
 		AvoidAgent string
 	}
 )
