Don't reserve agents that a final attempt may not use

A task on its final attempt by crashes that also has one attempt left reserved an agent on trial. It may not run there, and the reservation kept probes away until the trial ended without a result.

--- a/internal/sched/drive/health_test.go
+++ b/internal/sched/drive/health_test.go
@@ -261,3 +261,33 @@
 		})
 	}
 }
+
+// Guards against a task on its final attempt by crashes that reserves an agent on trial although
+// it may not run there, so that the trial has no result.
+func TestFinalAttemptLeavesTrialAgent(t *testing.T) {
+	s := newSim(1, 4, true, faults{enabled: withHealth})
+	s.run(2*time.Second, 0)
+	// The other agents have no memory left.
+	s.submitJob(&wire.Step{Count: 3, CpuMillis: 1000, MemoryMb: 7900, EstimateMs: long, SpreadLimit: 1})
+	s.run(time.Second, 0)
+	for _, a := range s.agents {
+		a.failing = len(a.runs) == 0
+	}
+	submit := func() { s.submitJob(&wire.Step{Count: 1, CpuMillis: 1000, MemoryMb: 200, EstimateMs: 100}) }
+	for range 4 {
+		submit()
+	}
+	for len(s.engine.QuarantinedAgents()) == 0 {
+		s.run(simTick, 0)
+	}
+	s.submitJob(&wire.Step{Count: 1, CpuMillis: 8000, MemoryMb: 200, EstimateMs: 100})
+	last := s.graph.Job(s.jobs[len(s.jobs)-1]).Occurrences[0][0].Tasks[0]
+	last.Crashes, last.Failures = graph.MaxCrashes-1, 2
+	for _, a := range s.agents {
+		a.failing = false
+	}
+	submit()
+	s.run(4*time.Second, 0)
+	assert.Equal(t, len(s.engine.QuarantinedAgents()), 0)
+	assert.Assert(t, last.Done && len(s.violations) == 0, "%v", s.violations)
+}
--- a/internal/sched/drive/reserve.go
+++ b/internal/sched/drive/reserve.go
@@ -4,6 +4,7 @@
 package drive
 
 import (
+	"math"
 	"time"
 
 	"sycamoredeck.example/internal/store/graph"
@@ -93,7 +94,8 @@
 func (p *pass) reserveForStanding(t *graph.Task, candidates []*freeResources) {
 	var best *freeResources
 	for _, f := range candidates {
-		if f.reservedFor != nil || !f.fitsExceptCPU(t.Stage) || f.cpuMillis+f.ordinaryMillis < float64(t.Stage.Step.CpuMillis) {
+		if f.reservedFor != nil || !f.fitsExceptCPU(t.Stage) || f.cpuMillis+f.ordinaryMillis < float64(t.Stage.Step.CpuMillis) ||
+			math.IsInf(p.healthCost(t, f), 1) {
 			continue
 		}
 		if f.agent.record.Id == p.engine.reservations[t] {
