Moves count all capacity that is taken

Claims of runs that are still stopping were dropped once their agent no longer counted as slow, placements being committed weren't seen, and reservations of ended tasks kept agents out. Runs that are being stopped made no progress and counted as evidence that their agent is slow.

--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -116,7 +116,7 @@
 	evidence, failedTrials := t.Evidence(e.now, a.record.Id)
 	until, _ := t.IsolatedUntil(a.record.Id)
 	e.options.Logger.Info(text, "agent", a.record.Id, "pool", a.record.Pool, "job", r.task.Stage.Job.ID, "queue", r.task.Stage.Job.Queue,
-		"evidence", math.Round(evidence*100)/100, "failed_trials", failedTrials, "for", max(until-e.now, 0),
+		"evidence", math.Round(evidence*100)/100, "failed_trials", failedTrials, "duration", max(until-e.now, 0),
 		"isolated", t.Isolated(a.record.Pool), "agents", e.poolSize(a.record.Pool))
 }
 
@@ -206,9 +206,10 @@
 		r.throttledAt == 0 && r.startsSent > 0 && r.startedAt != 0 && r.task.Checkpoint == ""
 }
 
-// recordSpeed records the speed of a running run by its progress.
+// recordSpeed records the speed of a running run by its progress. A run that is being stopped may
+// make none.
 func (e *Engine) recordSpeed(r *run) {
-	if !e.enabled(AgentHealth) || !e.indicatesSpeed(r) || r.progressPercent >= fullPercent {
+	if !e.enabled(AgentHealth) || !e.indicatesSpeed(r) || r.progressPercent >= fullPercent || e.reasonToStop(r) != "" {
 		return
 	}
 	elapsed := e.now - max(r.speedSince, r.startedAt)
@@ -254,7 +255,8 @@
 			}
 		}
 	}
-	if e.now >= e.health.nextMove {
+	// The capacity for placements that are being committed isn't free any more.
+	if e.now >= e.health.nextMove && !e.placementPending {
 		e.health.nextMove = e.now + moveInterval
 		e.moveSlowRuns()
 	}
--- a/internal/sched/drive/move.go
+++ b/internal/sched/drive/move.go
@@ -6,6 +6,9 @@
 	"sycamoredeck.example/internal/sched/health"
 )
 
+// slowAgentReason is the reason to stop a run that is moved.
+const slowAgentReason = "agent is slow"
+
 // moveTargets are the agents with capacity for runs that are moved.
 type moveTargets struct {
 	candidates []*freeResources
@@ -58,7 +61,7 @@
 }
 
 func (e *Engine) move(r *run, to *agent) {
-	r.stopReason, r.moveTo = "agent is slow", to
+	r.stopReason, r.moveTo = slowAgentReason, to
 	r.task.AvoidAgent = r.agent.record.Id
 	e.markChanged(r.agent)
 	runsMoved.Inc()
@@ -71,13 +74,10 @@
 // are being moved already.
 func (e *Engine) newMoveTargets() *moveTargets {
 	t := &moveTargets{claimed: map[*agent]moveClaim{}}
-	reserved := map[string]bool{}
-	for _, id := range e.reservations {
-		reserved[id] = true
-	}
+	reserved := e.reservedStages()
 	for _, list := range e.agents.byPool {
 		for _, a := range list {
-			if !e.schedulable(a) || reserved[a.record.Id] || e.health.tracker.Slowdown(a.record.Id) > 1 {
+			if !e.schedulable(a) || reserved[a.record.Id] != nil || e.health.tracker.Slowdown(a.record.Id) > 1 {
 				continue
 			}
 			if free := e.freeResourcesOf(a); free.health == health.Sound {
@@ -85,13 +85,9 @@
 			}
 		}
 	}
-	for _, id := range e.health.tracker.SlowAgents() {
-		if a := e.agents.byID[id]; a != nil {
-			for _, r := range a.sortedRuns {
-				if r.moveTo != nil {
-					t.claim(r.moveTo, r)
-				}
-			}
+	for _, r := range e.runs { // also of agents that no longer count as slow
+		if r.moveTo != nil {
+			t.claim(r.moveTo, r)
 		}
 	}
 	return t
