Only runs of this leader decide trials

Runs of the earlier leader got the new leader's times, so they kept probes away and their successes ended trials. The failure rate of an agent was reset before the run that failed its trial counted, so it stayed at 0.25.

--- a/internal/sched/drive/estimates.go
+++ b/internal/sched/drive/estimates.go
@@ -75,16 +75,17 @@
 
 // recordOutcome updates the estimates with the end of a run. Opportunistic runs don't
 // indicate the speed of their agent, as they only get the CPU that others leave unused.
+// recordHealth may reset the failure rate, and compares the run time with that of earlier runs.
 func (e *Engine) recordOutcome(a *agent, t *graph.Task, outcome wire.RunOutcome) {
 	r := e.runs[t]
 	if r == nil {
 		return
 	}
 	ae := e.estimates.agent(a.record.Id)
-	e.recordHealth(r, outcome)
 	switch outcome {
 	case wire.RunOutcome_RUN_OUTCOME_DONE:
 		ae.recordResult(false)
+		e.recordHealth(r, outcome)
 		e.recordSlowdown(ae, r)
 		e.recordDuration(r)
 	case wire.RunOutcome_RUN_OUTCOME_FAILED:
@@ -92,6 +93,7 @@
 		if !t.Stage.Standing() {
 			ae.recordResult(true)
 		}
+		e.recordHealth(r, outcome)
 		e.options.Logger.Info("run failed", "job", t.Stage.Job.ID, "step", t.Stage.Index, "index", t.Index, "run", t.Run,
 			"agent", a.record.Id, "failures", t.Failures+1, "agent_failing", ae.failureRate)
 	}
--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -78,6 +78,9 @@
 		return
 	}
 	a, t := r.agent, &e.health.tracker
+	if !failed && r.startsSent == 0 && t.State(e.now, a.record.Id) >= health.Trial {
+		return // an earlier leader may have started it before the quarantine
+	}
 	startedAt := r.startedAt
 	if startedAt == 0 {
 		startedAt = r.trackedAt // it ended before its start was answered
@@ -136,12 +139,18 @@
 	}
 	since, _ := e.health.tracker.IsolatedUntil(free.agent.record.Id)
 	for _, r := range free.agent.sortedRuns {
-		if r.trackedAt >= since && e.now-r.trackedAt < probeTime {
+		if r.isProbe() && r.trackedAt >= since && e.now-r.trackedAt < probeTime {
 			free.probes++
 		}
 	}
 }
 
+// isProbe reports whether the result of a run may decide a trial. Standing runs may never end, and
+// a run that an earlier leader started may be from before the quarantine.
+func (r *run) isProbe() bool {
+	return !r.task.Stage.Standing() && (r.startsSent > 0 || r.phase == phaseUnresolved)
+}
+
 // healthAllows reports whether a task of the stage may be placed on the agent as far as its
 // health is concerned. Standing tasks and gangs can't serve as probes.
 func (f *freeResources) healthAllows(s *graph.Stage) bool {
--- a/internal/sched/drive/health_rules_test.go
+++ b/internal/sched/drive/health_rules_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"sycamoredeck.example/internal/sched/health"
 	"sycamoredeck.example/internal/schema/wire"
 )
 
@@ -24,6 +25,47 @@
 	return e, a
 }
 
+// putOnTrial puts an agent on trial since a second ago.
+func putOnTrial(e *Engine, a *agent) {
+	e.health.tracker.Restore(e.now, healthAgent(a), e.now-time.Second)
+}
+
+// Guards against runs of an earlier leader, and standing ones, that keep probes away or end a trial.
+func TestOnlyRunsOfThisLeaderDecideTrial(t *testing.T) {
+	cases := []struct {
+		name   string
+		step   *wire.Step
+		change func(*run)
+		probes int
+		ends   bool // its success ends the trial
+	}{
+		{"started by this leader", &wire.Step{}, func(*run) {}, 1, true},
+		{"not sent yet", &wire.Step{}, func(r *run) { r.startsSent, r.phase = 0, phaseUnresolved }, 1, false},
+		{"started by an earlier leader", &wire.Step{}, func(r *run) { r.startsSent = 0 }, 0, false},
+		{"standing", &wire.Step{Standing: true}, func(*run) {}, 0, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			e, a := healthEngine(c.step)
+			putOnTrial(e, a)
+			r := a.sortedRuns[0]
+			c.change(r)
+			assert.Equal(t, e.freeResourcesOf(a).probes, c.probes)
+			e.recordHealth(r, wire.RunOutcome_RUN_OUTCOME_DONE)
+			assert.Equal(t, e.health.tracker.State(e.now, "a") == health.Sound, c.ends)
+		})
+	}
+}
+
+// Guards against an agent that is rated by its failures although its trial decides on it.
+func TestFailureRateIsResetAfterTrial(t *testing.T) {
+	e, a := healthEngine(&wire.Step{})
+	putOnTrial(e, a)
+	e.recordOutcome(a, a.sortedRuns[0].task, wire.RunOutcome_RUN_OUTCOME_FAILED)
+	assert.Equal(t, e.health.tracker.State(e.now, "a"), health.Quarantined)
+	assert.Equal(t, e.estimates.agent("a").failureRate, 0.0)
+}
+
 // Guards against an agent that counts as slow because of runs that are being stopped.
 func TestStoppedRunsDontIndicateSpeed(t *testing.T) {
 	e, a := healthEngine(&wire.Step{EstimateMs: 1000})
