--- a/internal/sched/drive/explain.go
+++ b/internal/sched/drive/explain.go
@@ -246,7 +246,7 @@
 		if !t.Placeable() {
 			continue
 		}
-		if t.OnFinalAttempt() || t.AvoidAgent != "" {
+		if t.OnFinalAttempt() || t.AvoidAgent != "" && s.Step.Opportunistic {
 			return t
 		}
 		if first == nil {
@@ -286,7 +286,7 @@
 	case t.OnFinalAttempt():
 		return finalAttemptLimit
 	default:
-		return interferenceLimit // it was evicted from there
+		return interferenceLimit // an opportunistic task isn't placed again where it was evicted
 	}
 }
 
--- a/internal/sched/drive/health_rules_test.go
+++ b/internal/sched/drive/health_rules_test.go
@@ -10,6 +10,7 @@
 
 	"sycamoredeck.example/internal/sched/health"
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
 )
 
 // healthEngine returns an engine and an agent with runs of the given steps that this leader
@@ -90,3 +91,11 @@
 	e.checkHealth()
 	assert.Equal(t, e.health.nextMove, time.Duration(0))
 }
+
+// Guards against a task that was moved and hides what limits a task on its final attempt.
+func TestFinalAttemptIsExplainedBeforeMovedTask(t *testing.T) {
+	s := &graph.Stage{Job: &graph.Job{}, Step: &wire.Step{}}
+	last := &graph.Task{Stage: s, Crashes: graph.MaxCrashes - 1}
+	s.Tasks = []*graph.Task{{Stage: s, AvoidAgent: "a"}, last}
+	assert.Assert(t, (&pass{}).mostLimitedTask(s) == last)
+}
