--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -78,6 +78,9 @@
 		return
 	}
 	a, t := r.agent, &e.health.tracker
+	if !failed && r.startsSent == 0 && t.State(e.now, a.record.Id) >= health.Trial {
+		return // an earlier leader may have started it before the quarantine
+	}
 	startedAt := r.startedAt
 	if startedAt == 0 {
 		startedAt = r.trackedAt // it ended before its start was answered
@@ -116,7 +119,7 @@
 	evidence, failedTrials := t.Evidence(e.now, a.record.Id)
 	until, _ := t.IsolatedUntil(a.record.Id)
 	e.options.Logger.Info(text, "agent", a.record.Id, "pool", a.record.Pool, "job", r.task.Stage.Job.ID, "queue", r.task.Stage.Job.Queue,
-		"evidence", math.Round(evidence*100)/100, "failed_trials", failedTrials, "for", max(until-e.now, 0),
+		"evidence", math.Round(evidence*100)/100, "failed_trials", failedTrials, "duration", max(until-e.now, 0),
 		"isolated", t.Isolated(a.record.Pool), "agents", e.poolSize(a.record.Pool))
 }
 
@@ -136,12 +139,18 @@
 	}
 	since, _ := e.health.tracker.IsolatedUntil(free.agent.record.Id)
 	for _, r := range free.agent.sortedRuns {
-		if r.trackedAt >= since && e.now-r.trackedAt < probeTime {
+		if r.isProbe() && r.trackedAt >= since && e.now-r.trackedAt < probeTime {
 			free.probes++
 		}
 	}
 }
 
+// isProbe reports whether the result of a run may decide a trial. Standing runs may never end, and
+// a run that an earlier leader started may be from before the quarantine.
+func (r *run) isProbe() bool {
+	return !r.task.Stage.Standing() && (r.startsSent > 0 || r.phase == phaseUnresolved)
+}
+
 // healthAllows reports whether a task of the stage may be placed on the agent as far as its
 // health is concerned. Standing tasks and gangs can't serve as probes.
 func (f *freeResources) healthAllows(s *graph.Stage) bool {
@@ -175,7 +184,8 @@
 }
 
 // healthAllowsStart reports whether a task may still be started on the agent it was placed
-// on. The agent may have failed runs while the placement was committed.
+// on. The agent may have failed runs while the placement was committed, or while a start was
+// unanswered.
 func (e *Engine) healthAllowsStart(a *agent, t *graph.Task) bool {
 	if !e.enabled(AgentHealth) {
 		return true
@@ -205,9 +215,10 @@
 		r.throttledAt == 0 && r.startsSent > 0 && r.startedAt != 0 && r.task.Checkpoint == ""
 }
 
-// recordSpeed records the speed of a running run by its progress.
+// recordSpeed records the speed of a running run by its progress. A run that is being stopped may
+// make none.
 func (e *Engine) recordSpeed(r *run) {
-	if !e.enabled(AgentHealth) || !e.indicatesSpeed(r) || r.progressPercent >= fullPercent {
+	if !e.enabled(AgentHealth) || !e.indicatesSpeed(r) || r.progressPercent >= fullPercent || e.reasonToStop(r) != "" {
 		return
 	}
 	elapsed := e.now - max(r.speedSince, r.startedAt)
@@ -253,7 +264,8 @@
 			}
 		}
 	}
-	if e.now >= e.health.nextMove {
+	// The capacity for placements that are being committed isn't free any more.
+	if e.now >= e.health.nextMove && !e.placementPending {
 		e.health.nextMove = e.now + moveInterval
 		e.moveSlowRuns()
 	}
