Probes only on connections that were quiet for longer than hellos take

A working connection answers hellos within 700 ms, so 750 ms leaves the probe to those that may be dead.

--- a/internal/base/link/probe.go
+++ b/internal/base/link/probe.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// freshAnswer is how long after an answer a connection needs no probe.
-	freshAnswer = 100 * time.Millisecond
+	// freshAnswer is how long after an answer a connection needs no probe. Hellos are
+	// answered after 700 ms at most, so that a call on a working connection doesn't wait for
+	// a probe.
+	freshAnswer = 750 * time.Millisecond
 	// probeTimeout bounds a probe. Callers wait for 3 s in all, and a peer that answers
 	// later than this doesn't complete a commit in time either.
 	probeTimeout = 250 * time.Millisecond
--- a/internal/sched/drive/features.go
+++ b/internal/sched/drive/features.go
@@ -83,8 +83,10 @@
 
 // enabled reports whether a feature is on.
 func (e *Engine) enabled(f Feature) bool {
-	if slices.Contains(OptionalFeatures, f) {
+	switch f {
+	case AgentHealth, ContentionAware, FragmentationAware, JobAdmission:
 		return e.options.Enabled[f]
+	default:
+		return !e.options.Disabled[f]
 	}
-	return !e.options.Disabled[f]
 }
