--- a/internal/base/link/delivery.go
+++ b/internal/base/link/delivery.go
@@ -24,8 +24,7 @@
 	return context.WithValue(ctx, deliveryKey{}, d), d
 }
 
-// NotWritten reports whether there was a call and nothing of it, or of any other, was
-// written.
+// NotWritten reports whether at least one call was made and none was written.
 func (d *Delivery) NotWritten() bool { return d.unwritten.Load() && !d.written.Load() }
 
 // invokeRecorded makes a call and records whether it may have reached the peer. gRPC tells
--- a/internal/base/link/link.go
+++ b/internal/base/link/link.go
@@ -129,7 +129,7 @@
 // on pings.
 func (l *Link) alive(ctx context.Context) bool { return l.answered.Swap(false) || l.ping(ctx) }
 
-// recordAnswer notes each answered call; for the checks of the connection, except pings.
+// recordAnswer records each answered call. Pings don't count as answers for watch.
 func (l *Link) recordAnswer(ctx context.Context, method string, request, response any, conn *grpc.ClientConn, invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
 	err := invokeRecorded(ctx, method, request, response, conn, invoke, options)
 	if err == nil && conn == l.Conn() {
--- a/internal/front/uplink/leader.go
+++ b/internal/front/uplink/leader.go
@@ -124,7 +124,7 @@
 	response, err := method(callCtx, conn, request)
 	if err != nil && delivery.NotWritten() {
 		callsNotWritten.Inc()
-		err = status.Error(codes.Unavailable, NotExecuted+"it was not sent: "+status.Convert(err).Message())
+		err = status.Error(codes.Unavailable, NotExecuted+"request not sent: "+status.Convert(err).Message())
 	}
 	return response, err
 }
@@ -145,7 +145,7 @@
 		u.recordProbe(address, false)
 		u.probeVoters()
 	}
-	return nil, status.Error(codes.Unavailable, NotExecuted+"the control leader was not asked: "+err.Error())
+	return nil, status.Error(codes.Unavailable, NotExecuted+"no answer to ping: "+err.Error())
 }
 
 // timeLeft returns the time until the context ends.
@@ -176,11 +176,16 @@
 // NotExecuted is the prefix of error messages for calls that were not executed.
 const NotExecuted = "not done: "
 
+// OutcomeUnknown returns the error of a call that may have been executed.
+func OutcomeUnknown(text string) error {
+	return status.Error(codes.Aborted, "outcome unknown, ask again with the same key: "+text)
+}
+
 func (u *Uplink) finalError(ctx context.Context, err error, c *Call) error {
 	text := status.Convert(err).Message()
 	switch {
 	case c.Uncertain:
-		return status.Error(codes.Aborted, "outcome unknown, ask again with the same key: "+text)
+		return OutcomeUnknown(text)
 	case c.AdviseRetry:
 		return u.refuse(text, timeLeft(ctx, u.options.Clock.Now()))
 	default:
--- a/internal/front/uplink/outage.go
+++ b/internal/front/uplink/outage.go
@@ -40,6 +40,15 @@
 	}
 }
 
+// quorumResponsive reports whether a majority of the voters is expected to respond: those
+// with a valid status, fewer than maxFailedHellos failures and no failed probe. It returns
+// true if no voter is known.
+func (u *Uplink) quorumResponsive() bool {
+	now := u.options.Clock.Now()
+	responsive, voters := u.countVoters(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos && !rs.probeFailed(now) })
+	return voters == 0 || responsive > voters/2
+}
+
 // currentOutage returns the current outage.
 func (u *Uplink) currentOutage() retry.Outage {
 	hasQuorum := u.quorumResponsive()
--- a/internal/front/uplink/uplink.go
+++ b/internal/front/uplink/uplink.go
@@ -441,15 +441,6 @@
 	return voters > 0 && responded > voters/2
 }
 
-// quorumResponsive reports whether a majority of the voters is expected to respond: those
-// with a valid status, fewer than maxFailedHellos failures and no failed probe. It returns
-// true if no voter is known.
-func (u *Uplink) quorumResponsive() bool {
-	now := u.options.Clock.Now()
-	responsive, voters := u.countVoters(func(rs replicaStatus) bool { return rs.failedHellos < maxFailedHellos && !rs.probeFailed(now) })
-	return voters == 0 || responsive > voters/2
-}
-
 // countVoters returns the number of voters with a valid status that satisfies a condition,
 // and the number of all voters. Learners don't take part in elections.
 func (u *Uplink) countVoters(condition func(replicaStatus) bool) (counted, voters int) {
--- a/internal/run/entry/optional.go
+++ b/internal/run/entry/optional.go
@@ -2,11 +2,7 @@
 
 package entry
 
-import (
-	"fmt"
-	"slices"
-	"strings"
-)
+import "sycamoredeck.example/internal/base/setup"
 
 // Names of optional features, which are off unless they are switched on.
 const (
@@ -21,14 +17,5 @@
 type features map[string]bool
 
 func parseFeatures(names []string) (features, error) {
-	valid := []string{probeBeforeSend, adaptiveRetryAfter}
-	on := features{}
-	for _, n := range names {
-		name := strings.TrimSpace(n)
-		if !slices.Contains(valid, name) {
-			return nil, fmt.Errorf("entry: unknown feature %q, valid features are %v", n, valid)
-		}
-		on[name] = true
-	}
-	return on, nil
+	return setup.ParseSwitches(names, []string{probeBeforeSend, adaptiveRetryAfter})
 }
--- a/internal/run/entry/work.go
+++ b/internal/run/entry/work.go
@@ -10,7 +10,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"sycamoredeck.example/internal/front/proxy"
@@ -145,7 +144,7 @@
 		return err
 	})
 	if err == nil && refusalUncertain(response.Answer, call.Uncertain) {
-		return nil, status.Error(codes.Aborted, "outcome unknown, ask again with the same key: refused after an attempt that was not answered")
+		return nil, uplink.OutcomeUnknown("refused after an attempt that was not answered")
 	}
 	return response, err
 }
--- a/internal/sched/drive/features.go
+++ b/internal/sched/drive/features.go
@@ -2,11 +2,7 @@
 
 package drive
 
-import (
-	"fmt"
-	"slices"
-	"strings"
-)
+import "sycamoredeck.example/internal/base/setup"
 
 // Feature is a scheduling feature that can be switched off for ablation measurements, or an
 // optional one that can be switched on. No guarantee depends on a feature.
@@ -62,23 +58,13 @@
 )
 
 // ParseFeatures parses names of features that can be switched off.
-func ParseFeatures(names []string) (map[Feature]bool, error) { return parseFeatures(names, Features) }
+func ParseFeatures(names []string) (map[Feature]bool, error) {
+	return setup.ParseSwitches(names, Features)
+}
 
 // ParseOptionalFeatures parses names of features that can be switched on.
 func ParseOptionalFeatures(names []string) (map[Feature]bool, error) {
-	return parseFeatures(names, OptionalFeatures)
-}
-
-func parseFeatures(names []string, valid []Feature) (map[Feature]bool, error) {
-	named := map[Feature]bool{}
-	for _, n := range names {
-		f := Feature(strings.TrimSpace(n))
-		if !slices.Contains(valid, f) {
-			return nil, fmt.Errorf("drive: unknown feature %q, valid features are %v", n, valid)
-		}
-		named[f] = true
-	}
-	return named, nil
+	return setup.ParseSwitches(names, OptionalFeatures)
 }
 
 // enabled reports whether a feature is on.
--- a/internal/store/quorum/restart_test.go
+++ b/internal/store/quorum/restart_test.go
@@ -13,9 +13,8 @@
 	"sycamoredeck.example/internal/store/quorum"
 )
 
-// Guards against a second leader while another holds its lease, and against lost entries, when
-// replicas lose power together, restart again, freeze or change while some of them ask for an
-// election.
+// Guards against a second leader beside a lease, and against lost entries, when replicas lose power
+// together, restart again, freeze or change while some ask for an election.
 func TestRestartElectionUnderFaults(t *testing.T) {
 	cases := []struct {
 		name   string
