--- a/internal/sched/drive/fragmentation_test.go
+++ b/internal/sched/drive/fragmentation_test.go
@@ -131,32 +131,34 @@
 }
 
 // BenchmarkTickTight measures a pass with urgent stages of 300 sizes that don't fit on a pool that
-// is full of standing tasks.
+// is full of standing tasks, without and with the optional features.
 func BenchmarkTickTight(b *testing.B) {
-	for _, c := range []struct {
-		name     string
-		features []drive.Feature
-	}{{"off", nil}, {"on", []drive.Feature{drive.FragmentationAware}}} {
-		b.Run(c.name, func(b *testing.B) {
-			s := newWideSim(1, 490, c.features...)
-			for range 160 {
-				s.submitJob(&wire.Step{Count: 14, CpuMillis: 13000, MemoryMb: 26000, EstimateMs: 500, Standing: true, Image: "s"})
-			}
-			s.run(4*time.Second, 0)
-			for range 300 {
-				s.submitJob(&wire.Step{Count: 10, CpuMillis: uint64(2000 + s.random.IntN(32000)), MemoryMb: 20000, EstimateMs: 600000})
-			}
-			s.run(2*time.Second, 0)
-			b.ReportAllocs()
-			for b.Loop() {
-				s.now += simTick
-				b.StopTimer()
-				s.runEvents()
-				s.graph.OnChange()
-				b.StartTimer()
-				s.engine.Tick(s.now)
-			}
-		})
+	for _, agents := range []int{490, 1960} {
+		for _, c := range []struct {
+			name     string
+			features []drive.Feature
+		}{{"off", nil}, {"on", []drive.Feature{drive.AgentHealth, drive.ContentionAware, drive.FragmentationAware}}} {
+			b.Run(fmt.Sprintf("agents=%d/%s", agents, c.name), func(b *testing.B) {
+				s := newWideSim(1, agents, c.features...)
+				for range agents / 3 {
+					s.submitJob(&wire.Step{Count: 14, CpuMillis: 13000, MemoryMb: 26000, EstimateMs: 500, Standing: true, Image: "s"})
+				}
+				s.run(4*time.Second, 0)
+				for range 300 {
+					s.submitJob(&wire.Step{Count: 10, CpuMillis: uint64(2000 + s.random.IntN(32000)), MemoryMb: 20000, EstimateMs: 600000})
+				}
+				s.run(2*time.Second, 0)
+				b.ReportAllocs()
+				for b.Loop() {
+					s.now += simTick
+					b.StopTimer()
+					s.runEvents()
+					s.graph.OnChange()
+					b.StartTimer()
+					s.engine.Tick(s.now)
+				}
+			})
+		}
 	}
 }
 
