Less work in each scheduling pass with the optional features on

Suspected: the cost of a pass. The health of each agent was looked up twice in each pass and once for each rating, the reserve by size class divided for each agent and class twice, and contention was computed twice for each poll. Not measured apart.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -96,6 +96,7 @@
 	free      freeResources
 	freeAt    time.Duration
 	freeStale bool
+	health    cachedHealth
 }
 
 func (e *Engine) newAgent(registered *graph.Agent) *agent {
--- a/internal/sched/drive/contention.go
+++ b/internal/sched/drive/contention.go
@@ -25,10 +25,13 @@
 // contendedUtilization, until it is within the capacity. It takes the runs of the latest
 // jobs and only those that resume from a checkpoint elsewhere.
 func (e *Engine) relieveContention(a *agent) (evicted bool) {
-	if !e.enabled(ContentionAware) || e.expectedUtilization(a) <= contendedUtilization {
+	if !e.enabled(ContentionAware) {
 		return false
 	}
 	expected := e.expectedUtilization(a)
+	if expected <= contendedUtilization {
+		return false
+	}
 	excess := expected - maxUtilization
 	runs := throttleableRuns(a)
 	for i := len(runs) - 1; i >= 0 && excess > 0; i-- {
--- a/internal/sched/drive/health.go
+++ b/internal/sched/drive/health.go
@@ -34,6 +34,9 @@
 	// moveInterval is the interval at which runs on slow agents are checked. Agents are
 	// polled at longer ones.
 	moveInterval = 100 * time.Millisecond
+	// healthMaxAge is how long the cached health of an agent is valid. Without the end of a
+	// run it only improves.
+	healthMaxAge = 20 * time.Millisecond
 	// pruneInterval is the interval at which old records of agents' health are removed.
 	pruneInterval = time.Second
 )
@@ -85,6 +88,7 @@
 	if startedAt == 0 {
 		startedAt = r.trackedAt // it ended before its start was answered
 	}
+	a.health.valid = false
 	change := t.Record(e.now, healthAgent(a), healthJob(r.task), health.Outcome{Failed: failed, StartedAt: startedAt})
 	if !failed && e.now-startedAt >= minSpeedTime && e.indicatesSpeed(r) {
 		t.RecordDuration(e.now, healthAgent(a), healthJob(r.task), float64(e.now-startedAt)/float64(e.expectedRunTime(r)))
@@ -124,7 +128,25 @@
 }
 
 func (e *Engine) quarantined(a *agent) bool {
-	return e.enabled(AgentHealth) && e.health.tracker.State(e.now, a.record.Id) == health.Quarantined
+	return e.enabled(AgentHealth) && e.healthOf(a).state == health.Quarantined
+}
+
+// cachedHealth is the health of an agent as of a time; the zero value isn't valid.
+type cachedHealth struct {
+	state    health.State
+	slowdown float64
+	at       time.Duration
+	valid    bool
+}
+
+// healthOf returns the health of an agent. It is cached for healthMaxAge unless a run ends
+// there, as each scheduling pass needs that of all agents.
+func (e *Engine) healthOf(a *agent) *cachedHealth {
+	if h := &a.health; !h.valid || e.now-h.at >= healthMaxAge {
+		t, id := &e.health.tracker, a.record.Id
+		*h = cachedHealth{state: t.State(e.now, id), slowdown: t.Slowdown(id), at: e.now, valid: true}
+	}
+	return &a.health
 }
 
 // updateHealth updates the health of an agent in its free resources.
@@ -132,7 +154,7 @@
 	if !e.enabled(AgentHealth) {
 		return
 	}
-	free.health = e.health.tracker.State(e.now, free.agent.record.Id)
+	free.health = e.healthOf(free.agent).state
 	free.probes = 0
 	if free.health != health.Trial {
 		return
@@ -196,14 +218,14 @@
 }
 
 // expectedSlowdown returns the expected cost of a run on an agent, in normal run times.
-func (e *Engine) expectedSlowdown(id string) float64 {
+func (e *Engine) expectedSlowdown(a *agent) float64 {
 	slowdown := 0.5
 	if e.enabled(AgentHealth) {
-		if s := e.health.tracker.Slowdown(id); s > 1 {
+		if s := e.healthOf(a).slowdown; s > 1 {
 			slowdown = s
 		}
 	}
-	return e.estimates.expectedSlowdown(id, slowdown)
+	return e.estimates.expectedSlowdown(a.record.Id, slowdown)
 }
 
 // indicatesSpeed reports whether the speed of a run is that of its agent. Opportunistic runs
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -273,7 +273,7 @@
 // run time on a healthy agent in the rack of its data.
 func (p *pass) cost(s *graph.Stage, free *freeResources) float64 {
 	step := s.Step
-	cost := p.engine.expectedSlowdown(free.agent.record.Id)
+	cost := p.engine.expectedSlowdown(free.agent)
 	if step.DataRack != "" && step.DataRack != free.agent.record.Rack {
 		cost *= p.engine.options.OtherRackFactor
 	}
