Log and count what holds back the stops of runs of ended jobs

An operator who saw a run of a cancelled job go on couldn't find out why: a stop was logged at debug level, nothing counted how long such runs lasted, and neither a time without a leader nor a leader without its lease, which sends no orders, was visible.

- 'stops sent' lists each stop with its reason, one line a reconciliation.
- 'run of an ended job goes on' names the run and what holds its stop back two seconds after the job's end, and again when that changes; at most 20 lines each half second, counters for all.
- 'no leader is known' and 'leader lease isn't confirmed' come after an election timeout of it, with the sync in progress, and once when it is over; two counters add up the time.
- 'agent left' lists the runs that were there, 'job ended' counts them.

No decision changes.

--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -90,7 +90,7 @@
 	}
 	duration := j.EndedAt.Sub(j.AcceptedAt)
 	jobSeconds.Update(duration.Seconds())
-	c.logger.Info("job ended", "job", j.ID, "queue", j.Queue, "state", j.State.String(), "took_ms", duration.Milliseconds(), "failures", j.Failures(), "crashes", j.Crashes())
+	c.logger.Info("job ended", "job", j.ID, "queue", j.Queue, "state", j.State.String(), "took_ms", duration.Milliseconds(), "failures", j.Failures(), "crashes", j.Crashes(), "runs", j.ActiveRuns())
 }
 
 // scheduleTick schedules an iteration at the time that the engine needs. The replica's
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -69,6 +69,10 @@
 		now         time.Duration
 		agents      directory
 		runs        map[*graph.Task]*run
+		// endedJobRuns are the runs of ended jobs.
+		endedJobRuns    map[*run]bool
+		nextOverdueScan time.Duration
+		stops           stopLog
 		// pendingEnds are the run ends to commit at the next flush.
 		pendingEnds endBatch
 		// changedAgents are the agents whose replicated state changed since the last
@@ -171,7 +175,9 @@
 
 func (e *Engine) reset() {
 	e.agents, e.due, e.firstPolls = directory{}, dueAgents{}, firstPolls{}
-	e.runs = map[*graph.Task]*run{}
+	e.runs, e.endedJobRuns, e.stops = map[*graph.Task]*run{}, map[*run]bool{}, stopLog{}
+	endedJobRuns.Store(0)
+	oldestEndedJobRun.Store(0)
 	e.changedAgents = map[string]bool{}
 	e.pendingEnds = endBatch{}
 	e.freeByPool = map[string][]*freeResources{}
@@ -204,8 +210,9 @@
 	}
 	e.syncState()
 	e.flushEnds()
+	e.reportOverdueStops()
 	// Without the leader lease every order would be dropped before it is sent.
-	if e.options.HoldsLeaderLease != nil && !e.options.HoldsLeaderLease(e.term) {
+	if !e.holdsLeaderLease() {
 		return
 	}
 	if now >= e.nextReconcile {
@@ -216,9 +223,14 @@
 		e.saveEstimates()
 		e.checkHealth()
 	}
+	e.flushStops()
 	e.place()
 }
 
+func (e *Engine) holdsLeaderLease() bool {
+	return e.options.HoldsLeaderLease == nil || e.options.HoldsLeaderLease(e.term)
+}
+
 // NextTick returns the longest time after which Tick has to be called again.
 func (e *Engine) NextTick() time.Duration {
 	if e.term == 0 {
--- a/internal/sched/drive/registration.go
+++ b/internal/sched/drive/registration.go
@@ -142,7 +142,11 @@
 		return
 	}
 	e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_DropAgent{DropAgent: &wire.DropAgent{Id: gone.Record.Id, Reason: "it left"}}}, done)
-	e.options.Logger.Info("agent left", "agent", gone.Record.Id, "incarnation", gone.Record.Incarnation)
+	lost := ""
+	if a := e.agents.byID[gone.Record.Id]; a != nil {
+		lost = formatLost(a)
+	}
+	e.options.Logger.Info("agent left", "agent", gone.Record.Id, "incarnation", gone.Record.Incarnation, "leaving", gone.Record.Leaving, "runs", len(gone.Tasks), "lost", lost)
 }
 
 // goneProcess returns the process that a notice of shutdown refers to: the earliest one
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -61,6 +61,12 @@
 	stopReason  string
 	stopPending bool // a stop order is in flight
 	nextStop    time.Duration
+	stopsSent   int
+	lastStop    string // the outcome of the latest answered stop, for logs
+	// jobEndedAt is when this leader learned that the run's job has ended; 0 before.
+	jobEndedAt time.Duration
+	// reportedObstacle is what kept the run from being stopped when it was last reported.
+	reportedObstacle stopObstacle
 
 	checkpoint      string // the latest that the agent reported
 	progressPercent int
@@ -177,8 +183,9 @@
 	if r.phase == phaseUnknown && r.startsSent == 0 && !r.agent.synced {
 		return
 	}
-	e.options.Logger.Debug("run stopped", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number, "agent", r.agent.record.Id, "reason", reason)
+	e.stops.add(r, reason)
 	r.stopPending = true
+	r.stopsSent++
 	e.send(r.agent, Order{Kind: Stop, Run: r.id()})
 }
 
@@ -305,7 +312,7 @@
 	if r == nil {
 		return
 	}
-	r.stopPending, r.nextStop = false, e.now+stopRetryInterval
+	r.stopPending, r.nextStop, r.lastStop = false, e.now+stopRetryInterval, ans.Verdict.String()
 	if ans.Verdict != Accepted {
 		e.options.Logger.Info("stop refused or unanswered", "job", ans.Order.Run.Job, "run", r.number, "agent", a.record.Id, "verdict", ans.Verdict.String(), "detail", ans.Detail)
 		return
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -92,6 +92,7 @@
 		isLeader           bool
 		leaderSince        time.Duration
 		proposals          []proposal
+		leaselessUntil     time.Duration          // until then the leader holds no lease
 		agents             map[string]*modelAgent // by address
 		agentsStarted      int
 		steps              map[string]*wire.Step
@@ -227,15 +228,18 @@
 			s.proposals = append(s.proposals, proposal{c, done, term})
 			s.after(commitLatency, s.commitNext)
 		},
-		IsLeader:  func() (uint64, bool) { return term, s.isLeader && s.term == term },
-		Send:      s.sendOrder,
-		Advise:    s.advise,
-		BootClock: func() time.Duration { return s.now },
-		WallClock: func() time.Time { return time.Unix(0, 0).Add(s.now) },
-		Logger:    s.logger,
+		IsLeader:         func() (uint64, bool) { return term, s.isLeader && s.term == term },
+		HoldsLeaderLease: func(uint64) bool { return s.holdsLeaderLease() },
+		Send:             s.sendOrder,
+		Advise:           s.advise,
+		BootClock:        func() time.Duration { return s.now },
+		WallClock:        func() time.Time { return time.Unix(0, 0).Add(s.now) },
+		Logger:           s.logger,
 	})
 }
 
+func (s *sim) holdsLeaderLease() bool { return s.now >= s.leaselessUntil }
+
 // advise answers like the external service: always the same agents for a step, with tickets that
 // are valid for three seconds.
 func (s *sim) advise(request drive.AdviceRequest) {
@@ -294,6 +298,12 @@
 	if order.Kind == drive.Poll {
 		s.polls++
 	}
+	if !s.holdsLeaderLease() {
+		s.after(time.Millisecond, func() {
+			engine.HandleAnswer(s.now, drive.Answer{Order: order, Verdict: drive.NotSent, Detail: "no leader lease"})
+		})
+		return
+	}
 	timeout := answerTimeout + order.Wait
 	if s.maxConnections > 0 && s.connectionsInUse >= s.maxConnections {
 		s.after(time.Millisecond, func() { engine.HandleAnswer(s.now, drive.Answer{Order: order, Verdict: drive.NoConnection}) })
--- a/internal/sched/drive/sync.go
+++ b/internal/sched/drive/sync.go
@@ -52,7 +52,9 @@
 	for _, r := range a.sortedRuns {
 		if r.task.Agent != id || r.task.Run != r.number {
 			e.removeRun(r)
+			continue
 		}
+		e.noteEndedJob(r)
 	}
 }
 
@@ -98,6 +100,7 @@
 		return
 	}
 	delete(e.runs, r.task)
+	delete(e.endedJobRuns, r)
 	r.agent.removeRun(r)
 	key := loadKeyOf(r.task)
 	e.runningCPU[key] -= float64(r.task.Stage.Step.CpuMillis)
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -278,5 +278,8 @@
 	}
 }
 
+// ActiveRuns returns the number of the job's tasks with a run that may exist.
+func (j *Job) ActiveRuns() int { return j.activeRuns }
+
 // mayHaveRuns reports whether a run of the job may still exist.
 func (j *Job) mayHaveRuns() bool { return j.activeRuns > 0 }
--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -28,6 +28,7 @@
 	n.recordRounds()
 	n.updateRole()
 	n.recordRestart()
+	n.recordOutages()
 	n.completeReads()
 	n.completeAppliedReads()
 	n.maybeSnapshot()
--- a/internal/store/node/lease_test.go
+++ b/internal/store/node/lease_test.go
@@ -3,10 +3,11 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"log/slog"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -34,6 +35,9 @@
 	bootTime   atomic.Int64
 	iterations atomic.Int64
 	responding atomic.Bool
+	// confirming is unset to make the others respond without confirming heartbeat rounds.
+	confirming atomic.Bool
+	log        lockedBuffer
 	sent       atomic.Int64 // messages sent by replica 1
 	// removals counts the messages that remove replica 1, removalsWithLease those sent while
 	// it held the leader lease.
@@ -49,10 +53,11 @@
 	}}}
 	c := &testCluster{clock: clockwork.NewFakeClock()}
 	c.responding.Store(true)
+	c.confirming.Store(true)
 	c.node, err = node.New(node.Options{
 		ID: 1, HeartbeatInterval: heartbeat, ElectionTimeout: electionTimeout, SnapshotThreshold: 20000,
 		Clock: c.clock, BootTime: func() time.Duration { return time.Duration(c.bootTime.Load()) },
-		Logger:         slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Logger:         slog.New(slog.NewTextHandler(&c.log, nil)),
 		Send:           c.respond,
 		Lookup:         func(uint64) *wire.ControlMember { return nil },
 		AfterIteration: func(time.Time) { c.iterations.Add(1) },
@@ -81,9 +86,13 @@
 	}
 	var responses []*wire.PeerMessage
 	for _, m := range messages {
+		round := m.Round
+		if !c.confirming.Load() {
+			round = 0
+		}
 		responses = append(responses, &wire.PeerMessage{
 			Kind: kinds[m.Kind], From: to.ReplicaId, To: m.From, ClusterId: m.ClusterId, Term: m.Term,
-			Index: m.Index + uint64(len(m.Records)), Round: m.Round,
+			Index: m.Index + uint64(len(m.Records)), Round: round,
 		})
 	}
 	c.node.Step(responses)
@@ -131,6 +140,47 @@
 	}
 }
 
+// lockedBuffer is a buffer for logs that several goroutines use.
+type lockedBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(data []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(data)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// tick advances the clock in steps of a tick, each of which is handled before the next.
+func (c *testCluster) tick(t *testing.T, d time.Duration) {
+	t.Helper()
+	for ; d > 0; d -= heartbeat / 2 {
+		c.advance(heartbeat / 2)
+		c.waitIdle(t)
+	}
+}
+
+// Guards against a leader that sends no orders for seconds without a trace: it commits, and no
+// replica changes its role.
+func TestMissingLeaseIsLogged(t *testing.T) {
+	c := startCluster(t, walog.Options{})
+	c.waitForLease(t)
+	c.confirming.Store(false)
+	c.tick(t, 3*electionTimeout)
+	assert.Equal(t, strings.Count(c.log.String(), `msg="leader lease isn't confirmed"`), 1, "%s", c.log.String())
+	c.confirming.Store(true)
+	c.tick(t, electionTimeout)
+	assert.Equal(t, strings.Count(c.log.String(), `msg="leader lease is confirmed again`), 1, "%s", c.log.String())
+	assert.Equal(t, strings.Count(c.log.String(), `to=leader`), 1, "%s", c.log.String())
+}
+
 func (c *testCluster) advance(d time.Duration) {
 	c.bootTime.Add(int64(d))
 	c.clock.Advance(d)
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -151,9 +151,13 @@
 		role           quorum.Role
 		restartPhase   quorum.RestartPhase
 		startedAt      time.Duration
-		leaderSince    time.Time
-		appliedIndex   uint64
-		appliedTerm    uint64 // term of the entry at appliedIndex
+		// leaderless lasts while no leader is known, leaseless while this replica leads without
+		// a leader lease. outagesRecordedAt is when both were last updated.
+		leaderless, leaseless outage
+		outagesRecordedAt     time.Duration
+		leaderSince           time.Time
+		appliedIndex          uint64
+		appliedTerm           uint64 // term of the entry at appliedIndex
 		// iterationStart is read before the iteration sends anything and is the send time of
 		// its heartbeat round. If the process is paused in mid-iteration, the leader lease
 		// that the round confirms therefore starts too early rather than too late.
