Heartbeats are confirmed without waiting for the disk

What operators saw: a leader that stays leader and commits, cancellations among them, while it stops no runs and renews no leases of agents, for seconds.

Cause: a follower answered a heartbeat together with the append, after the sync in progress and, with records in the same iteration, after the next one as well. The leader lease lasts 0.8 of the election timeout from when the round was sent. With syncs of half a second on most voters' disks the answers came too late for it, though in time for the leader to stay leader. Without its lease the engine sends nothing.

Change: while an answer has to wait, a follower confirms the round with a message of its own, once for each round, if the term is on disk. It doesn't count as a response in the sense of replacing voters, so that a voter whose disk hangs is still replaced.

--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -75,6 +75,7 @@
 // hangs must not keep its followers from electing another one.
 func (n *Node) processReady() bool {
 	n.withdrawLease()
+	n.send(n.core.NextPrompt())
 	committed := n.core.NextCommittedEntries()
 	for _, r := range committed {
 		n.applyEntry(r)
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -59,7 +59,8 @@
 
 	// Ready is the work for the driver, in this order: send Appends; sync Vote, Snapshot
 	// and Entries to disk; call Synced; send Messages; restore Snapshot. During the sync,
-	// Core accepts messages, ticks and proposals, but Ready must not be called again.
+	// Core accepts messages, ticks and proposals, but Ready must not be called again. What
+	// NextPrompt returns may be sent at any time.
 	Ready struct {
 		Vote     *wire.Vote
 		Snapshot *wire.Snapshot
@@ -128,10 +129,18 @@
 		noVoteTicks int
 		restart     restartElection
 
-		voteChanged       bool
+		voteChanged bool
+		// syncing is set while a Ready is written to disk, durableTerm the term on disk.
+		syncing     bool
+		durableTerm uint64
+		// answeredTerm and answeredRound are the latest heartbeat round that was answered
+		// without waiting for a sync.
+		answeredTerm, answeredRound uint64
+
 		pendingSnapshot   *wire.Snapshot // received and not yet returned by Ready
 		nextToPersist     uint64         // the first entry not yet returned by Ready
 		appends, messages []*wire.PeerMessage
+		prompt            []*wire.PeerMessage // don't depend on this replica's disk
 	}
 )
 
@@ -171,6 +180,7 @@
 	if c.snapshot == nil {
 		c.snapshot = &wire.Snapshot{Membership: &wire.Membership{}}
 	}
+	c.durableTerm = c.term
 	c.commitIndex, c.appliedIndex = c.snapshot.Index, c.snapshot.Index
 	c.syncedIndex = c.LastIndex()
 	c.nextToPersist = c.syncedIndex + 1
@@ -194,6 +204,7 @@
 	if c.nextToPersist <= c.LastIndex() {
 		rd.Entries = append(rd.Entries, c.entryRange(c.nextToPersist, c.LastIndex())...)
 	}
+	c.syncing = rd.Vote != nil || rd.Snapshot != nil || len(rd.Entries) > 0
 	c.voteChanged, c.pendingSnapshot, c.appends, c.messages = false, nil, nil, nil
 	c.nextToPersist = c.LastIndex() + 1
 	return rd
@@ -207,6 +218,14 @@
 	return appends
 }
 
+// NextPrompt returns the pending messages that promise nothing that isn't on disk yet. Unlike
+// those of Ready they may be sent while an earlier Ready is being synced.
+func (c *Core) NextPrompt() []*wire.PeerMessage {
+	prompt := c.prompt
+	c.prompt = nil
+	return prompt
+}
+
 // NextCommittedEntries returns the entries to apply: those that are committed, are on this
 // replica's disk and weren't returned before. Unlike Ready it may be called while an
 // earlier Ready is being synced.
@@ -223,6 +242,10 @@
 // Synced records that the Ready is on disk. A leader counts its own copy of an entry
 // towards the majority only after this call.
 func (c *Core) Synced(rd Ready) {
+	c.syncing = false
+	if rd.Vote != nil {
+		c.durableTerm = rd.Vote.Term
+	}
 	if len(rd.Entries) == 0 {
 		return
 	}
--- a/internal/store/quorum/replication.go
+++ b/internal/store/quorum/replication.go
@@ -85,11 +85,15 @@
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND:
 		c.followLeader(m)
 		c.handleAppend(m)
+		c.answerRound(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_SNAPSHOT:
 		c.followLeader(m)
 		c.handleSnapshot(m)
+		c.answerRound(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER:
 		c.handleAppendResponse(m)
+	case wire.PeerMessageKind_PEER_MESSAGE_KIND_ROUND_ANSWER:
+		c.handleRoundAnswer(m)
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_TIMEOUT_NOW:
 		if m.From == c.leader && c.isVoter(c.options.ID) {
 			c.campaign(Candidate, true, nil)
@@ -125,6 +129,30 @@
 	c.commitIndex = max(c.commitIndex, min(m.Commit, resp.Index))
 }
 
+// answerRound confirms a heartbeat round without waiting for the disk, if the answer to the
+// append has to wait. Otherwise a leader whose voters have slow disks couldn't hold its lease.
+// The term must be on disk: a replica that restarts in an earlier one could take part in the
+// election of another leader within the time of the lease.
+func (c *Core) answerRound(m *wire.PeerMessage) {
+	waits := c.syncing || c.voteChanged || c.pendingSnapshot != nil || c.nextToPersist <= c.LastIndex()
+	if !waits || c.term != c.durableTerm || m.Term == c.answeredTerm && m.Round <= c.answeredRound {
+		return
+	}
+	c.answeredTerm, c.answeredRound = m.Term, m.Round
+	c.prompt = append(c.prompt, c.withSender(&wire.PeerMessage{
+		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_ROUND_ANSWER, To: m.From, Term: c.term, Round: m.Round,
+	}))
+}
+
+// handleRoundAnswer doesn't count as a response for TicksSinceResponse: a voter whose disk hangs
+// has to be replaced.
+func (c *Core) handleRoundAnswer(m *wire.PeerMessage) {
+	if p := c.peers[m.From]; c.role == Leader && p != nil {
+		p.recentActive = true
+		p.ackedRound = max(p.ackedRound, m.Round)
+	}
+}
+
 // mergeEntries appends the entries that are missing. If one conflicts with an existing
 // entry, that entry and all that follow are discarded; they were never committed.
 func (c *Core) mergeEntries(entries []*wire.LogRecord) {
--- a/internal/store/quorum/restart_test.go
+++ b/internal/store/quorum/restart_test.go
@@ -25,6 +25,7 @@
 		{"partitions", 5, simFaults{powerLoss: 0.006, restart: 0.3, crash: 0.001, cut: 0.01, heal: 0.03, drop: 0.02, duplicate: 0.02, freeze: 0.004}},
 		{"members", 3, simFaults{powerLoss: 0.004, restart: 0.3, crash: 0.002, drop: 0.01, snapshot: 0.01, replace: 0.1, freeze: 0.003}},
 		{"lost disks", 5, simFaults{powerLoss: 0.005, restart: 0.3, drop: 0.01, snapshot: 0.01, replace: 0.1, wipe: 0.003, freeze: 0.002, slowDisk: 0.1}},
+		{"slow disks", 5, simFaults{powerLoss: 0.008, restart: 0.4, crash: 0.001, cut: 0.005, heal: 0.03, drop: 0.01, transfer: 0.003, freeze: 0.002, slowDisk: 0.25}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/store/quorum/sim_test.go
+++ b/internal/store/quorum/sim_test.go
@@ -285,6 +285,9 @@
 // processReady does what the node does with a replica's Ready. The replica may crash
 // between any two of its steps, which loses what wasn't synced.
 func (s *sim) processReady(r *simReplica) {
+	prompt := r.core.NextPrompt()
+	s.checkResponses(r, prompt)
+	s.network = append(s.network, prompt...)
 	if r.persisting == nil {
 		rd := r.core.Ready()
 		s.network = append(s.network, rd.Appends...)
@@ -348,6 +351,8 @@
 		case m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER && !m.Reject:
 			lastIndex := r.disk.snapshot.Index + uint64(len(r.disk.entries))
 			s.check(m.Index <= lastIndex, "replica %d acknowledged entry %d but has only %d on disk", r.id, m.Index, lastIndex)
+		case m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_ROUND_ANSWER:
+			s.check(r.disk.vote.GetTerm() == m.Term, "replica %d answered a round of term %d with term %d on disk", r.id, m.Term, r.disk.vote.GetTerm())
 		default:
 		}
 	}
