Elections converge on slow disks

What operators saw: no leader for a minute and more, in one term after another, while syncs took 0.2 to 0.6 s on the disks of all replicas. Nobody stops runs of cancelled jobs or renews leases of agents meanwhile.

Cause: a vote arrives once the candidate has written its own, and the voter has completed a write in progress and written its vote. A candidate gave up after 0.25 to 1.25 election timeouts whatever the disks did; and a follower that had just voted supported the next candidate, whose term voided the votes still being written. Pre-votes and their answers, which promise nothing, waited for the disk as well. And a leader whose sync took longer than a heartbeat sent no heartbeats until it ended.

Change: pre-votes don't wait for the disk. A replica estimates from its own recent writes how long votes take; within that time a candidate doesn't give up, and a voter supports no other one. The estimate grows while a write lasts, so that the first election needs no history. Candidates wait up to four times as long after elections without a winner. A leader counts its write as hanging when it takes twice as long as recent ones, instead of a heartbeat, and an election timeout at most. With writes of some ms nothing changes.

--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -17,6 +17,20 @@
 // make more ready.
 const maxReadyPerIteration = 4
 
+const (
+	// persistTimeDecay divides the longest time of a recent write to disk to give by how much
+	// it shrinks with each write.
+	persistTimeDecay = 16
+	// hangFactor is the multiple of the time of recent writes after which a write hangs.
+	hangFactor = 2
+	// writesPerElection are the writes that an election takes one after the other: the vote of the
+	// candidate, a write in progress at a voter, and its vote.
+	writesPerElection = 3
+	// maxVoteTimeouts limits the time that votes are waited for, in election timeouts. A disk that
+	// is slower counts as failed.
+	maxVoteTimeouts = 4
+)
+
 func (n *Node) runIteration() {
 	n.appendProposals()
 	n.startReadIndex()
@@ -71,8 +85,8 @@
 // returns false if there was nothing to do or a write to disk was started.
 //
 // Append messages are sent while an earlier Ready is still being persisted, which reduces
-// the latency of a commit. They stop after one heartbeat interval: a leader whose disk
-// hangs must not keep its followers from electing another one.
+// the latency of a commit. They stop once that takes too long: a leader whose disk hangs must
+// not keep its followers from electing another one.
 func (n *Node) processReady() bool {
 	n.withdrawLease()
 	n.send(n.core.NextPrompt())
@@ -81,7 +95,7 @@
 		n.applyEntry(r)
 	}
 	if n.persisting {
-		if n.options.BootTime()-n.persistStart < n.options.HeartbeatInterval {
+		if n.options.BootTime()-n.persistStart < n.persistLimit() {
 			n.send(n.core.NextAppends())
 		}
 		return len(committed) > 0
@@ -114,6 +128,7 @@
 		err := job()
 		n.Post(func() {
 			n.persisting = false
+			n.recentPersistTime = max(n.options.BootTime()-n.persistStart, n.recentPersistTime-n.recentPersistTime/persistTimeDecay)
 			switch {
 			case n.failed:
 			case err != nil:
@@ -126,6 +141,22 @@
 	})
 }
 
+// persistLimit returns the time after which a write to disk hangs, compared with recent ones.
+func (n *Node) persistLimit() time.Duration {
+	return min(max(n.options.HeartbeatInterval, hangFactor*n.recentPersistTime), n.options.ElectionTimeout)
+}
+
+// estimateVoteTicks returns the number of ticks that the votes of an election take if all disks
+// are as slow as this one.
+func (n *Node) estimateVoteTicks() int {
+	persist := n.recentPersistTime
+	if n.persisting {
+		persist = max(persist, n.options.BootTime()-n.persistStart)
+	}
+	estimate := min(writesPerElection*persist, maxVoteTimeouts*n.options.ElectionTimeout)
+	return int(estimate * ticksPerHeartbeat / n.options.HeartbeatInterval)
+}
+
 // compactLog removes the log segments that a snapshot covers once no write is in progress.
 func (n *Node) compactLog() {
 	if n.compactIndex == 0 || n.persisting {
--- a/internal/store/node/lease_test.go
+++ b/internal/store/node/lease_test.go
@@ -125,6 +125,7 @@
 		if term != 0 && c.node.HoldsLeaderLease(term) {
 			return term
 		}
+		c.waitWritten(t)
 		c.advance(heartbeat / 2)
 	}
 	t.Fatal("replica did not become leader")
@@ -140,6 +141,15 @@
 	}
 }
 
+// waitWritten waits until nothing is being written to disk, so that writes take no time by the
+// test's clock.
+func (c *testCluster) waitWritten(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !c.node.Idle(); time.Sleep(100 * time.Microsecond) {
+		assert.Assert(t, time.Now().Before(end), "a write doesn't end")
+	}
+}
+
 // lockedBuffer is a buffer for logs that several goroutines use.
 type lockedBuffer struct {
 	mu     sync.Mutex
@@ -162,6 +172,7 @@
 func (c *testCluster) tick(t *testing.T, d time.Duration) {
 	t.Helper()
 	for ; d > 0; d -= heartbeat / 2 {
+		c.waitWritten(t)
 		c.advance(heartbeat / 2)
 		c.waitIdle(t)
 	}
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -169,7 +169,9 @@
 		// snapshot is. snapshotMu guards the snapshot file.
 		persisting, savingSnapshot bool
 		persistStart               time.Duration
-		snapshotMu                 sync.Mutex
+		// recentPersistTime is the longest time that a recent write to disk took.
+		recentPersistTime time.Duration
+		snapshotMu        sync.Mutex
 		// compactIndex is the index up to which log segments are due for removal, or 0.
 		compactIndex uint64
 		writers      sync.WaitGroup
@@ -214,6 +216,7 @@
 			return
 		case <-ticker.Chan():
 			n.startIteration()
+			n.core.SetVoteTicks(n.estimateVoteTicks())
 			n.core.Tick()
 		case f := <-n.inbox:
 			n.startIteration()
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -123,6 +123,10 @@
 		transferTicks  int
 
 		electionElapsed, heartbeatElapsed, randomizedElectionTicks int
+		// leaderTerm is the latest term in which this replica knew a leader, or that of its
+		// start. voteTicks is as in SetVoteTicks.
+		leaderTerm uint64
+		voteTicks  int
 		// noVoteTicks is the number of ticks during which a restarted replica grants no
 		// votes. It may have acknowledged a heartbeat just before the restart, and the
 		// leader's lease relies on no vote being granted for an election timeout.
@@ -180,7 +184,7 @@
 	if c.snapshot == nil {
 		c.snapshot = &wire.Snapshot{Membership: &wire.Membership{}}
 	}
-	c.durableTerm = c.term
+	c.durableTerm, c.leaderTerm = c.term, c.term
 	c.commitIndex, c.appliedIndex = c.snapshot.Index, c.snapshot.Index
 	c.syncedIndex = c.LastIndex()
 	c.nextToPersist = c.syncedIndex + 1
--- a/internal/store/quorum/election.go
+++ b/internal/store/quorum/election.go
@@ -10,6 +10,10 @@
 // campaigns of a replica.
 const campaignRetryDivisor = 4
 
+// maxElectionBackoff limits the factor by which candidates wait longer after elections without
+// a winner.
+const maxElectionBackoff = 4
+
 // Tick advances the logical clock by one tick.
 func (c *Core) Tick() {
 	c.electionElapsed++
@@ -19,7 +23,7 @@
 		return
 	}
 	c.tickRestart()
-	if c.electionElapsed >= c.randomizedElectionTicks && c.isVoter(c.options.ID) {
+	if c.electionElapsed >= c.randomizedElectionTicks+c.voteDelay() && c.isVoter(c.options.ID) {
 		c.campaign(PreCandidate, false, nil)
 	}
 }
@@ -73,16 +77,14 @@
 	c.role = role
 	c.leader = 0
 	c.votes = map[uint64]bool{c.options.ID: true}
-	c.resetElectionTimer()
-	// No leader is known, so the next campaign needn't wait for a full election timeout
-	// after a split vote. Replicas that all start at once collide often.
-	c.randomizedElectionTicks = c.options.ElectionTicks/campaignRetryDivisor + c.options.Random(c.options.ElectionTicks)
-	term, kind := c.term+1, wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE
+	c.electionElapsed = 0
+	term, kind, send := c.term+1, wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE, c.sendPrompt
 	if role == Candidate {
 		c.setTerm(term)
 		c.votedFor = c.options.ID
-		kind = wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE
+		kind, send = wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE, c.send
 	}
+	c.randomizedElectionTicks = c.campaignTicks()
 	if c.countVotes(true) >= c.majority() {
 		c.electionWon()
 		return
@@ -91,7 +93,7 @@
 		if m.ReplicaId == c.options.ID {
 			continue
 		}
-		c.send(&wire.PeerMessage{
+		send(&wire.PeerMessage{
 			Kind: kind, To: m.ReplicaId, Term: term, Handover: transfer,
 			Index: c.LastIndex(), LogTerm: c.termAt(c.LastIndex()),
 			Restarted: restarted != nil, AskedIndex: restarted[m.ReplicaId],
@@ -99,6 +101,47 @@
 	}
 }
 
+// campaignTicks returns how long a campaign lasts before the next one. No leader is known, so that
+// needn't be a full election timeout after a split vote: replicas that all start at once
+// collide often. After elections without a winner the votes may take longer than estimated.
+func (c *Core) campaignTicks() int {
+	ticks := c.options.ElectionTicks/campaignRetryDivisor + c.options.Random(c.options.ElectionTicks)
+	if c.role == Candidate {
+		return ticks * c.electionBackoff()
+	}
+	return ticks
+}
+
+// electionBackoff returns the factor by which candidates wait longer. It doubles with each term
+// that this replica has seen since it last knew a leader.
+func (c *Core) electionBackoff() int {
+	factor := 1
+	for t := c.leaderTerm + 1; t < c.term && factor < maxElectionBackoff; t++ {
+		factor *= 2
+	}
+	return factor
+}
+
+// SetVoteTicks sets the number of ticks that the votes of an election take until they are on
+// disk and arrive. The driver derives it from the time that its own disk takes.
+func (c *Core) SetVoteTicks(ticks int) { c.voteTicks = ticks }
+
+// voteDelay returns by how many ticks the next campaign is delayed, so that votes arrive that are
+// still being written to disk.
+func (c *Core) voteDelay() int {
+	if c.leader != 0 || c.role == PreCandidate || c.votedFor == 0 {
+		return 0
+	}
+	return c.voteTicks
+}
+
+// votePending reports whether a vote of this replica, for itself or another, may still elect a
+// leader. It supports no other candidate until then: while votes take long, a later term in
+// which nobody is elected would void them.
+func (c *Core) votePending() bool {
+	return c.electionElapsed < c.voteDelay()
+}
+
 func (c *Core) electionWon() {
 	if c.role == PreCandidate {
 		c.campaign(Candidate, false, nil)
@@ -122,6 +165,9 @@
 		c.setTerm(term)
 	}
 	c.role, c.leader, c.transferee = Follower, leader, 0
+	if leader != 0 {
+		c.leaderTerm = c.term
+	}
 	c.resetElectionTimer()
 }
 
@@ -137,6 +183,7 @@
 func (c *Core) becomeLeader() {
 	c.endRestart()
 	c.role, c.leader, c.transferee, c.timeoutNowSent = Leader, c.options.ID, 0, false
+	c.leaderTerm = c.term
 	c.electionElapsed, c.heartbeatElapsed = 0, 0
 	c.peers = map[uint64]*progress{}
 	c.syncPeers()
@@ -163,6 +210,10 @@
 		c.votedFor, c.voteChanged = m.From, true
 		c.resetElectionTimer()
 	}
+	if pre {
+		c.sendPrompt(resp) // it promises nothing
+		return
+	}
 	c.send(resp)
 }
 
--- a/internal/store/quorum/replication.go
+++ b/internal/store/quorum/replication.go
@@ -38,11 +38,12 @@
 }
 
 // ignoresVoteRequest reports whether the message is a vote request that must be ignored
-// because a leader is active: see leaderActive.
+// because a leader is active or may just be elected: see leaderActive and votePending.
 func (c *Core) ignoresVoteRequest(m *wire.PeerMessage) bool {
 	switch m.Kind {
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE, wire.PeerMessageKind_PEER_MESSAGE_KIND_VOTE:
-		return !m.Handover && !c.waivesWait(m) && c.leaderActive()
+		supported := m.Kind == wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE && c.votePending()
+		return !m.Handover && !c.waivesWait(m) && (c.leaderActive() || supported)
 	default:
 		return false
 	}
@@ -71,7 +72,7 @@
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND, wire.PeerMessageKind_PEER_MESSAGE_KIND_SNAPSHOT:
 		c.send(&wire.PeerMessage{Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER, To: m.From, Term: c.term, Reject: true})
 	case wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE:
-		c.send(&wire.PeerMessage{Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER, To: m.From, Term: c.term, Reject: true})
+		c.sendPrompt(&wire.PeerMessage{Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE_ANSWER, To: m.From, Term: c.term, Reject: true})
 	default:
 	}
 }
@@ -104,7 +105,7 @@
 
 func (c *Core) followLeader(m *wire.PeerMessage) {
 	c.endRestart()
-	c.role, c.leader = Follower, m.From
+	c.role, c.leader, c.leaderTerm = Follower, m.From, c.term
 	c.resetElectionTimer()
 }
 
@@ -139,9 +140,9 @@
 		return
 	}
 	c.answeredTerm, c.answeredRound = m.Term, m.Round
-	c.prompt = append(c.prompt, c.withSender(&wire.PeerMessage{
+	c.sendPrompt(&wire.PeerMessage{
 		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_ROUND_ANSWER, To: m.From, Term: c.term, Round: m.Round,
-	}))
+	})
 }
 
 // handleRoundAnswer doesn't count as a response for TicksSinceResponse: a voter whose disk hangs
@@ -414,6 +415,11 @@
 	c.messages = append(c.messages, c.withSender(m))
 }
 
+// sendPrompt sends a message that promises nothing that has to be on disk.
+func (c *Core) sendPrompt(m *wire.PeerMessage) {
+	c.prompt = append(c.prompt, c.withSender(m))
+}
+
 func (c *Core) withSender(m *wire.PeerMessage) *wire.PeerMessage {
 	m.From, m.ClusterId = c.options.ID, c.membership.GetClusterId()
 	return m
--- a/internal/store/quorum/restart.go
+++ b/internal/store/quorum/restart.go
@@ -119,7 +119,7 @@
 	}
 	for _, m := range c.voters() {
 		if m.ReplicaId != c.options.ID {
-			c.send(&wire.PeerMessage{
+			c.sendPrompt(&wire.PeerMessage{
 				Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_PRE_VOTE, To: m.ReplicaId, Term: r.term, Restarted: true,
 				Index: c.LastIndex(), LogTerm: c.termAt(c.LastIndex()),
 				Round: r.request, AskedIndex: confirming[m.ReplicaId],
@@ -178,7 +178,7 @@
 		r.heldFor, r.holdTicks = m.From, restartHoldTicks
 	default:
 	}
-	c.send(answer)
+	c.sendPrompt(answer)
 }
 
 // handleRestartAnswer counts an answer to the latest request. Others, such as a delayed rejection
