A cancellation holds for a submission that is still under way

What callers would see: a job starts though its cancelling was acknowledged. A client that has no answer to its submission cancels; the cancelling reaches the leader first, is answered as unknown and forgotten; the submission is accepted afterwards and runs. The class: an answer that is given once and forgotten.

By the ends in the users' record (lapsed, died) it isn't the cause of their cases; it was found by looking for the same class.

The submission is accepted as cancelled: a client that asks is told so, and no task starts. The answer to the cancelling stays 'unknown job'.

--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -95,7 +95,8 @@
 	}
 }
 
-// submit accepts a job. It is idempotent: the same id with the same content is the same job.
+// submit accepts a job. It is idempotent: the same id with the same content is the same job. A
+// job that was cancelled before is accepted as cancelled.
 func (g *Graph) submit(at time.Time, s *wire.SubmitWork) error {
 	if existing := g.jobs[s.Job]; existing != nil {
 		if existing.Queue != s.Queue || !proto.Equal(existing.Spec, s.Spec) {
@@ -114,6 +115,9 @@
 	}
 	j.buildStages()
 	g.addJob(j)
+	if g.earlyCancels.take(j.ID, j.Queue) {
+		g.finishJob(at, j, wire.WorkState_WORK_STATE_CANCELLED)
+	}
 	g.notifyChange()
 	return nil
 }
@@ -153,9 +157,13 @@
 	}
 }
 
-// cancel ends a job. The leader stops its runs.
+// cancel ends a job. The leader stops its runs. If the job isn't known, its submission may come
+// later.
 func (g *Graph) cancel(at time.Time, c *wire.CancelWork) error {
 	j := g.jobs[c.Job]
+	if j == nil {
+		g.earlyCancels.add(c.Job, c.Queue, at)
+	}
 	if j == nil || j.Queue != c.Queue {
 		return ErrUnknownJob
 	}
@@ -264,8 +272,10 @@
 	return nil
 }
 
-// removeExpired removes ended jobs and the ids of removed agents after their retention.
+// removeExpired removes ended jobs, early cancellations and the ids of removed agents after their
+// retention.
 func (g *Graph) removeExpired(endedBefore time.Time) {
+	g.earlyCancels.removeBefore(endedBefore)
 	for id, j := range g.jobs {
 		if j.Ended() && j.EndedAt.Before(endedBefore) && !j.mayHaveRuns() {
 			delete(g.jobs, id)
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -44,6 +44,7 @@
 		sequence      uint64
 		estimates     *wire.Learned
 		drains        drainState
+		earlyCancels  earlyCancellations
 		// OnChange, if set, is called after each command that may have changed which
 		// tasks are ready or where they can be placed.
 		OnChange func()
@@ -81,6 +82,7 @@
 	g.sequence = 0
 	g.estimates = nil
 	g.drains = drainState{since: map[string]time.Time{}}
+	g.earlyCancels = earlyCancellations{}
 }
 
 // Catalog returns the current catalog; version 0 is the empty one. It must not be modified.
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -28,6 +28,7 @@
 	g.drains.save(image)
 	image.SilentAgents = g.saveLeaseExpiries()
 	image.CrashReports = g.saveCrashReports()
+	image.EarlyCancellations = g.earlyCancels.save()
 	return image
 }
 
@@ -95,6 +96,7 @@
 	}
 	g.setLeaseExpiries(image.SilentAgents)
 	g.setCrashReports(image.CrashReports)
+	g.earlyCancels.load(image.EarlyCancellations)
 	for id, at := range image.Dropped {
 		g.removedAgents[id] = at.AsTime()
 	}
@@ -159,8 +161,11 @@
 }
 
 // HasRemovableJobs reports whether a job ended before the given time and has no run that
-// may exist.
+// may exist, or an early cancellation is from before that time.
 func (g *Graph) HasRemovableJobs(endedBefore time.Time) bool {
+	if g.earlyCancels.anyBefore(endedBefore) {
+		return true
+	}
 	for _, j := range g.jobs {
 		if j.Ended() && j.EndedAt.Before(endedBefore) && !j.mayHaveRuns() {
 			return true
