Audit of cancelled jobs with real processes

The model's audit knows cancellations and faults now, and counts work on a cancelled job later than the platform allows: 3.9 s after the acknowledgement, or after 3 s without faults. TestCancelledJobsStop cancels running and queued jobs, batch and standing, and kills or freezes the leader right after it has acknowledged that.

--- a/internal/itest/task_test.go
+++ b/internal/itest/task_test.go
@@ -10,6 +10,8 @@
 
 	"gotest.tools/v3/assert"
 
+	"sycamoredeck.example/internal/model/audit"
+	"sycamoredeck.example/internal/model/front"
 	"sycamoredeck.example/internal/schema/wire"
 )
 
@@ -185,6 +187,45 @@
 	c.assertNoViolations()
 }
 
+// Guards against workers that go on with cancelled jobs, also when the leader ends right after it has
+// acknowledged the cancellations.
+func TestCancelledJobsStop(t *testing.T) {
+	for _, name := range []string{"calm", "leader killed", "leader frozen"} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 3, 2)
+			c.configure()
+			c.worker("worker-0")
+			c.worker("worker-1")
+			c.waitWorkers(2)
+			journal, err := front.OpenJournal(c.journal("operator"), "operator")
+			assert.NilError(t, err)
+			var ids []string
+			for i := range 12 {
+				ids = append(ids, c.submit("entry-0", fmt.Sprint("j", i), []string{"batch", "standing"}[i%2], "units=10000", false))
+			}
+			c.waitJobState(ids[0], wire.JobState_JOB_STATE_RUNNING)
+			leader := c.leader()
+			ctx, cancel := c.context()
+			_, err = wire.NewJobServiceClient(c.connTo("entry-1")).Cancel(ctx, &wire.CancelRequest{JobIds: ids})
+			cancel()
+			assert.NilError(t, err)
+			for _, id := range ids {
+				journal.Add(audit.Cancelled, id, 0, 0)
+			}
+			switch name {
+			case "leader killed":
+				c.kill(leader)
+				journal.Add(audit.Fault, "", 0, 0)
+			case "leader frozen":
+				c.signal(leader, syscall.SIGSTOP)
+				journal.Add(audit.Fault, "", 0, 0)
+			}
+			time.Sleep(audit.ContactTime + audit.CancelLimit + 2*time.Second)
+			c.assertNoViolations()
+		})
+	}
+}
+
 // Checks that a job that no worker can ever run is refused and doesn't block others.
 func TestInfeasibleJobIsRefused(t *testing.T) {
 	c := newCluster(t, 1, 1)
--- a/internal/model/audit/audit.go
+++ b/internal/model/audit/audit.go
@@ -1,7 +1,7 @@
 // Package audit checks the journals of simulated workers, servers and callers for
 // violations of the system's guarantees: a task in two places, a unit of work repeated
-// needlessly, a request executed twice, or one executed although its caller was told
-// otherwise.
+// needlessly, a request executed twice, one executed although its caller was told
+// otherwise, or work on a cancelled job.
 package audit
 
 import (
@@ -10,12 +10,26 @@
 	"fmt"
 	"os"
 	"sort"
+	"time"
 
 	"sycamoredeck.example/internal/model/front"
 )
 
-// maxLineBytes is the maximum length of a journal line.
-const maxLineBytes = 1 << 20
+const (
+	// maxLineBytes is the maximum length of a journal line.
+	maxLineBytes = 1 << 20
+	// CancelLimit is how long a cancelled job may be worked on after the acknowledgement, or
+	// after ContactTime without faults.
+	CancelLimit = 3900 * time.Millisecond
+	// ContactTime is how long the system takes to recover from a fault.
+	ContactTime = 3 * time.Second
+)
+
+// The kinds of events that callers and tests record about jobs and faults.
+const (
+	Cancelled = "cancelled" // a cancellation was acknowledged
+	Fault     = "fault"     // a fault was injected, or has ended
+)
 
 type (
 	// Findings counts violations and describes the first few.
@@ -33,7 +47,10 @@
 		// when a worker is lost between checkpoints, and a violation when the attempt
 		// was stopped by an order.
 		UnitsRepeated int
-		Examples      []string
+		// WorkAfterCancel counts jobs that were worked on for too long after their cancellation.
+		WorkAfterCancel int
+		Examples        []string
+		lastFault       time.Time
 	}
 
 	eventHistory struct {
@@ -43,7 +60,7 @@
 
 // Violations returns the number of violations, without UnitsRepeated.
 func (f *Findings) Violations() int {
-	return f.Overlaps + f.FinishedTwice + f.RunTwice + f.NotRunButRan
+	return f.Overlaps + f.FinishedTwice + f.RunTwice + f.NotRunButRan + f.WorkAfterCancel
 }
 
 // Read reads journal files and sorts the events by time. It skips incomplete lines.
@@ -78,7 +95,11 @@
 	tasks, requests := map[string]*eventHistory{}, map[string]*eventHistory{}
 	for _, e := range events {
 		group := tasks
-		if e.Attempt == 0 {
+		switch {
+		case e.Kind == Fault:
+			f.lastFault = e.At
+			continue
+		case e.Attempt == 0 && e.Kind != Cancelled:
 			group = requests
 		}
 		if group[e.ID] == nil {
@@ -100,8 +121,21 @@
 	var latest uint32
 	finished := map[uint32]bool{}
 	done := map[uint64]uint32{}
+	var mustStopBy time.Time
+	late := false
 	for _, e := range h.events {
+		if !mustStopBy.IsZero() && e.At.After(mustStopBy) && (e.Kind == "start" || e.Kind == "unit") && !late {
+			late = true
+			f.WorkAfterCancel++
+			f.addExample("job %s: attempt %d on %s goes on %v after it had to stop", id, e.Attempt, e.Source, e.At.Sub(mustStopBy))
+		}
 		switch e.Kind {
+		case Cancelled:
+			mustStopBy = e.At
+			if calm := f.lastFault.Add(ContactTime); calm.After(mustStopBy) {
+				mustStopBy = calm
+			}
+			mustStopBy = mustStopBy.Add(CancelLimit)
 		case "start":
 			latest = max(latest, e.Attempt)
 		case "unit":
