Runs are stopped on an agent that lives on after its shutdown notice

What callers would see: a run of a cancelled job that goes on until its agent has ended, for seconds, with nobody to stop it or to renew its lease.

Cause: with the notice the leader forgets the agent and its runs at once. An agent whose notice isn't answered in time, as while commits take long, tries other replicas and ends some seconds later. The class: a process is taken to have ended when it says that it will.

Evidence: TestLingeringAgentRunsNothing, both runs go on without the change.

Change: the runs that the leader knows there are stopped with the notice. A task may still be started elsewhere before the stop is executed, as before.

--- a/internal/sched/drive/overdue_test.go
+++ b/internal/sched/drive/overdue_test.go
@@ -81,3 +81,24 @@
 	assert.Equal(t, len(original.runs), 0, "the run wasn't stopped:\n%s", log)
 	assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
 }
+
+// Guards against a run that goes on without anyone to stop it or to renew its lease, while its agent
+// lives on after the notice of its shutdown, as one does whose notice wasn't answered in time.
+func TestLingeringAgentRunsNothing(t *testing.T) {
+	s := newSim(1, 1, true, faults{incarnations: true})
+	s.run(2*time.Second, 0)
+	s.submitJob(&wire.Step{Count: 2, CpuMillis: 1000, EstimateMs: 20000})
+	s.run(time.Second, 0)
+	lingering := s.agents["10.0.0.0:1"]
+	assert.Equal(t, len(lingering.runs), 2)
+	lingering.record.Leaving = true
+	s.report(lingering, false)
+	s.run(time.Second, 0)
+	s.report(lingering, true)
+	lingering.nextHeartbeat = s.now + time.Hour
+	s.run(100*time.Millisecond, 0)
+	s.cancelJob(jobID(1))
+	s.run(cancelledRunLimit, 0)
+	assert.Equal(t, len(lingering.runs), 0)
+	assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
+}
--- a/internal/sched/drive/registration.go
+++ b/internal/sched/drive/registration.go
@@ -135,6 +135,9 @@
 // handleGone drops an agent that has shut down. The notice doesn't identify the process;
 // it is taken to be the one that announced leaving. If there is none, the notice is a
 // late one of an earlier process and must not end the runs of the current one.
+//
+// The process may take seconds to end, if its notice isn't answered in time. As it isn't polled any
+// more, its runs are stopped now.
 func (e *Engine) handleGone(reported *wire.Agent, done func(error)) {
 	gone := e.goneProcess(reported.Id)
 	if gone == nil {
@@ -145,6 +148,9 @@
 	lost := ""
 	if a := e.agents.byID[gone.Record.Id]; a != nil {
 		lost = formatLost(a)
+		for _, r := range a.sortedRuns {
+			e.send(a, Order{Kind: Stop, Run: r.id()})
+		}
 	}
 	e.options.Logger.Info("agent left", "agent", gone.Record.Id, "incarnation", gone.Record.Incarnation, "leaving", gone.Record.Leaving, "runs", len(gone.Tasks), "lost", lost)
 }
