--- a/internal/sched/drive/crash_test.go
+++ b/internal/sched/drive/crash_test.go
@@ -237,6 +237,14 @@
 	}
 }
 
+// Guards against a standing task that is never placed again beside tasks that crash agents, restarts
+// and partitions.
+func TestStandingTaskReturnsAfterCrashes(t *testing.T) {
+	s := newSim(22, 6, true, faults{incarnations: true, crashingTask: 0.1, late: 0.02, lost: 0.02, restart: 0.01, partition: 0.002, leaderChange: 0.003, failedRun: 0.02})
+	s.run(30*time.Second, 1)
+	assertJobsEnd(t, 22, s)
+}
+
 // Guards against reports and withdrawals that follow one another for as long as a poll is pending on
 // an agent that refused a connection.
 func TestRefusedConnectionIsReportedOnce(t *testing.T) {
