--- a/internal/store/node/outage.go
+++ b/internal/store/node/outage.go
@@ -17,6 +17,7 @@
 )
 
 // outage is a condition that lasts while a replica can't do its work. The zero value is none.
+// reported is set once it has been logged.
 type outage struct {
 	lasts    bool
 	since    time.Duration
@@ -40,12 +41,12 @@
 		leaselessSeconds.Add(elapsed)
 	}
 	leads := status.Role == quorum.Leader
-	n.updateOutage(&n.leaderless, status.Leader == 0, "no leader is known", "leader is known again")
-	n.updateOutage(&n.leaseless, leads && !n.HoldsLeaderLease(status.Term), "leader lease isn't confirmed", "leader lease is confirmed again or leadership has ended")
+	n.updateOutage(&n.leaderless, status.Leader == 0, status, "no leader is known", "leader is known again")
+	n.updateOutage(&n.leaseless, leads && !n.HoldsLeaderLease(status.Term), status, "leader lease isn't confirmed", "leader lease is confirmed again or leadership has ended")
 }
 
-func (n *Node) updateOutage(o *outage, lasts bool, began, ended string) {
-	now, status := n.iterationBootTime, n.core.Status()
+func (n *Node) updateOutage(o *outage, lasts bool, status quorum.Status, began, ended string) {
+	now := n.iterationBootTime
 	switch {
 	case lasts && !o.lasts:
 		*o = outage{lasts: true, since: now}
