--- a/internal/sched/drive/overdue_test.go
+++ b/internal/sched/drive/overdue_test.go
@@ -62,14 +62,12 @@
 	})
 }
 
-// Guards against a run that no order is sent for any more, after it was to be ended with its agent
-// and that couldn't be committed: another process answered at the agent's address for a moment
-// during a transfer of leadership that was aborted.
+// Guards against a run that gets no orders any more after a drop of its agent wasn't committed.
 func TestFailedDropLeavesRunsStoppable(t *testing.T) {
 	s, log := simWithStandingJob()
 	const address = "10.0.0.0:1"
 	original := s.agents[address]
-	s.startAgentAs("r-other", address)
+	s.startAgentAs("r-other", address) // answers in its place, which drops it
 	s.proposalsFail = true
 	s.run(2*time.Second, 0)
 	s.agents[address] = original
@@ -82,8 +80,7 @@
 	assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
 }
 
-// Guards against a run that goes on without anyone to stop it or to renew its lease, while its agent
-// lives on after the notice of its shutdown, as one does whose notice wasn't answered in time.
+// Guards against a run that nobody stops on an agent that lives on after its shutdown notice.
 func TestLingeringAgentRunsNothing(t *testing.T) {
 	s := newSim(1, 1, true, faults{incarnations: true})
 	s.run(2*time.Second, 0)
