--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -37,8 +37,10 @@
 // cases return what broke the rule, empty if it held.
 var cases = map[string]func(*play) (broken []string, err error){
 	"crashed-runners": playCrashedRunners,
+	"founding":        playFounding,
 	"evicted":         playEvicted,
 	"left-runner":     playLeftRunner,
+	"waiting":         playWaiting,
 	"wiped":           playWiped,
 	"pending":         playPending,
 }
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -17,15 +17,17 @@
 	"time"
 )
 
-const (
+// tolerated is how many machines with a disk may be lost at once.
+const tolerated = 2
+
+// The ports, the same on all machines. chooseNetwork moves them until they are free.
+var (
 	peerPort    = 7720 // the first of the ports between nodes
 	adminPort   = 7721
 	frontPort   = 8161
 	controlPort = 8166
 	readyPort   = 8167
 	runnerPort  = 8080
-	// tolerated is how many machines with a disk may be lost at once.
-	tolerated = 2
 )
 
 // bounds are those of the sheet of etk-zagreb that the settings templates use.
@@ -80,14 +82,20 @@
 
 func (s *system) ip(n int) string { return fmt.Sprintf("%s.%d.1", s.network, n) }
 
-// chooseNetwork chooses loopback addresses on which the ports are free.
+// chooseNetwork chooses loopback addresses and ports that are free.
 func (s *system) chooseNetwork(machines int) error {
-	for range 20 {
+	ports := []*int{&peerPort, &adminPort, &frontPort, &controlPort, &readyPort, &runnerPort}
+	for try := range 40 {
 		s.network = fmt.Sprintf("127.%d", 20+rand.IntN(200))
+		if try > 0 {
+			for _, p := range ports {
+				*p += 431
+			}
+		}
 		free := true
 		for n := 1; n <= machines && free; n++ {
-			for _, port := range []int{peerPort, adminPort, frontPort, controlPort, readyPort} {
-				listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", s.ip(n), port))
+			for _, port := range ports {
+				listener, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", s.ip(n), *port))
 				if err != nil {
 					free = false
 					break
