Runs of a terminating agent are released by their ends, not by its notice

Cause: the leader committed the removal of the agent at its notice, and the removal releases its runs. The notice says that the process will end; if it gets no answer, the process ends some seconds later, and its runs exist until then. Evidence: with only that step put back, the engine's simulation starts the second run one tick after the commit, whatever becomes of the stops (each case of TestTerminatingAgentKeepsItsRuns).

Change: the notice is committed as a state of the agent. Its runs are stopped, with repetitions, and released once their ends are reported, its address refuses a connection, another process answers in its place, or its leases have expired. The state is in the log, so the next leader knows it. Leases of a terminating agent aren't renewed, which bounds the wait if it falls silent. Repeated notices, and heartbeats after the notice, change nothing.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -60,6 +60,10 @@
 	// expiryCommitted is set once the expiry of its leases is proposed or committed.
 	expiryCommitted  bool
 	connectionClosed bool // its process has ended; see recordClosedConnection
+	// connectionRefused is set while its address refuses connections.
+	connectionRefused bool
+	// terminatingSince is when this leader learned that it terminates; 0 if it doesn't.
+	terminatingSince time.Duration
 	// closedAt is when connectionClosed was set.
 	closedAt time.Duration
 	// crashReported is set once a crash report is proposed or committed.
@@ -114,8 +118,12 @@
 	return a.failedPolls > 0 || (a.polling && e.now > a.pollSentAt+a.pollWait+suspectAfter)
 }
 
-// leaseRenewable reports whether an order may carry a deadline, which renews the lease.
-func (a *agent) leaseRenewable() bool { return a.failedPolls == 0 && !a.expiryCommitted }
+// leaseRenewable reports whether an order may carry a deadline, which renews the lease. The
+// runs of a terminating agent are being stopped, and a later expiry would delay their release
+// if it falls silent.
+func (a *agent) leaseRenewable() bool {
+	return a.failedPolls == 0 && !a.expiryCommitted && !a.record.Terminating
+}
 
 // schedulable reports whether new tasks may be placed on the agent.
 func (e *Engine) schedulable(a *agent) bool { return e.agentLimit(a) == noLimit }
@@ -154,7 +162,7 @@
 // reconcileAgent renews the agent's lease, or abandons its runs once the lease has
 // expired.
 func (e *Engine) reconcileAgent(a *agent) {
-	if a.dropping {
+	if a.dropping || e.dropTerminated(a) {
 		return
 	}
 	if a.failedPolls > 0 && e.leaseExpired(a) {
@@ -192,8 +200,11 @@
 		return
 	}
 	a.dropping = true
-	agentsDropped.Inc()
-	e.options.Logger.Info("agent dropped", "agent", a.record.Id, "address", a.record.Address, "reason", reason, "runs", len(a.runs), "silent", e.now-a.answeredAt, "lost", formatLost(a))
+	if cause != terminated {
+		agentsDropped.Inc()
+	}
+	e.options.Logger.Info("agent dropped", "agent", a.record.Id, "address", a.record.Address, "reason", reason, "runs", len(a.runs), "silent", e.now-a.answeredAt,
+		"terminating", e.recordTermination(a, cause, reason), "lost", formatLost(a))
 	runsLost.Add(len(a.runs))
 	e.endLostRuns(a, cause)
 	e.flushEnds() // before the drop, which would discard their checkpoints
@@ -235,7 +246,8 @@
 		e.options.Logger.Info("agent heard again", "agent", a.record.Id, "silent", e.now-a.answeredAt)
 		e.placementDirty = true
 	}
-	a.failedPolls, a.connectionClosed, a.answeredAt, a.nextPoll = 0, false, e.now, e.now+a.pollPause
+	a.failedPolls, a.answeredAt, a.nextPoll = 0, e.now, e.now+a.pollPause
+	a.connectionClosed, a.connectionRefused = false, false
 	first := !a.synced
 	if first {
 		a.synced = true
@@ -259,6 +271,9 @@
 		a.connectionClosed, a.closedAt = true, e.now
 		e.agents.troubled.add(a)
 	}
+	if ans.ConnectionRefused {
+		a.connectionRefused = true
+	}
 }
 
 // dropPredecessors drops the processes that the given one has replaced, by address or by
--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -101,6 +101,7 @@
 		{"lost agents", true, faults{permanentLoss: 0.003, late: 0.02, failedRun: 0.02}, nil},
 		{"cancelled late starts", true, faults{cancel: 0.03, late: 0.15, lost: 0.05, leaderChange: 0.002, failedRun: 0.02}, nil},
 		{"leaving", true, faults{leave: 0.002, cancel: 0.003, failedRun: 0.02}, nil},
+		{"leaving, notices unanswered", true, faults{leave: 0.004, noticeLost: 0.5, leaderChange: 0.002, late: 0.02, lost: 0.02, partition: 0.001, incarnations: true, failedRun: 0.02}, nil},
 		{"tasks that crash agents", true, faults{crashingTask: 0.15, late: 0.03, lost: 0.03, leaderChange: 0.001, failedRun: 0.02}, []uint64{102, 284}},
 		{"tasks that crash agents, partitions", true, faults{incarnations: true, crashingTask: 0.1, late: 0.02, lost: 0.02, partition: 0.002, leaderChange: 0.001, failedRun: 0.02}, []uint64{15, 123, 142, 183, 242}},
 		{"tasks that crash agents, restarts", true, faults{incarnations: true, crashingTask: 0.1, late: 0.02, lost: 0.02, restart: 0.01, leaderChange: 0.001, failedRun: 0.02}, []uint64{66, 72, 254}},
--- a/internal/sched/drive/faults_test.go
+++ b/internal/sched/drive/faults_test.go
@@ -49,13 +49,21 @@
 	if run != nil {
 		s.causedCrashes[taskKey(run.id)]++
 	}
-	s.refusingAddresses[agent.record.Address] = !s.undetectedCrashes
+	if !s.undetectedCrashes {
+		s.closeConnections(agent)
+	}
+	s.after(s.crashedFor, func() { s.startAgent(agent.record.Address) })
+}
+
+// closeConnections closes the connections of an agent that has ended, and makes its address
+// refuse new ones.
+func (s *sim) closeConnections(agent *modelAgent) {
+	s.refusingAddresses[agent.record.Address] = true
 	for _, f := range agent.onConnectionClose {
-		if !agent.isUnreachable() && !s.undetectedCrashes {
+		if !agent.isUnreachable() {
 			s.after(time.Millisecond, f)
 		}
 	}
-	s.after(s.crashedFor, func() { s.startAgent(agent.record.Address) })
 }
 
 // mayFail reports whether a task of a job has failed as often as allowed, or has run on so many
@@ -163,15 +171,45 @@
 	})
 }
 
-// leave makes an agent announce that it is leaving, end, and come back under another id.
+// leave makes an agent announce that it is leaving, give notice, end, and come back under
+// another id.
 func (s *sim) leave(agent *modelAgent) {
 	agent.record = proto.Clone(agent.record).(*wire.Agent)
 	agent.record.Leaving = true
 	s.after(4*time.Second, func() {
+		if s.agents[agent.record.Address] != agent {
+			return
+		}
+		s.report(agent, true)
+		if s.faults.noticeLost > 0 && s.chance(s.faults.noticeLost) {
+			s.linger(agent)
+			return
+		}
+		s.after(3*commitLatency, func() { s.terminate(agent) })
+	})
+}
+
+// linger lets an agent live on whose notice got no answer. It repeats the notice, or no order
+// reaches it any more.
+func (s *sim) linger(agent *modelAgent) {
+	lives := time.Second + time.Duration(s.random.Int64N(int64(4*time.Second)))
+	if s.random.IntN(2) == 0 {
+		agent.unreachableUntil = s.now + lives
+	}
+	s.after(time.Second, func() {
 		if s.agents[agent.record.Address] == agent {
-			delete(s.agents, agent.record.Address)
 			s.report(agent, true)
-			s.after(time.Second, func() { s.startAgent(agent.record.Address) })
 		}
 	})
+	s.after(lives, func() { s.terminate(agent) })
+}
+
+// terminate ends an agent and closes its connections.
+func (s *sim) terminate(agent *modelAgent) {
+	if s.agents[agent.record.Address] != agent {
+		return
+	}
+	delete(s.agents, agent.record.Address)
+	s.closeConnections(agent)
+	s.after(time.Second, func() { s.startAgent(agent.record.Address) })
 }
--- a/internal/sched/drive/lost.go
+++ b/internal/sched/drive/lost.go
@@ -34,6 +34,8 @@
 	unreachable dropCause = iota
 	// superseded: a successor runs at its address, so its process has ended.
 	superseded
+	// terminated: it has given notice of its end, and its runs have certainly ended.
+	terminated
 )
 
 // endLostRuns ends the runs of an agent before it is dropped, if more has to be recorded
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -62,6 +62,8 @@
 		// or refused the connection, as happens when its process has ended. An
 		// unreachable peer leaves it false.
 		ConnectionClosed bool
+		// ConnectionRefused indicates that no process listens at the agent's address.
+		ConnectionRefused bool
 		// CalledAt and ReturnedAt are when the call to the agent began and ended, on the
 		// boot clock; 0 if unknown.
 		CalledAt, ReturnedAt time.Duration
--- a/internal/sched/drive/poll.go
+++ b/internal/sched/drive/poll.go
@@ -73,8 +73,9 @@
 // agent, don't wait: they check whether the agent is there.
 //
 // A waiting poll occupies a connection. If there are too few connections for all agents,
-// only polls of agents with runs that end by themselves wait. The others are polled with
-// a pause in between, during which other agents use the connection. Otherwise agents that get no connection would seem unreachable and lose their leases.
+// only polls of agents with runs that end by themselves wait, and those of terminating agents.
+// The others are polled with a pause in between, during which other agents use the connection.
+// Otherwise agents that get no connection would seem unreachable and lose their leases.
 func (e *Engine) planPoll(a *agent) pollPlan {
 	interval := maxPollWait
 	switch {
@@ -83,7 +84,7 @@
 	case a.hasLatencyTargets:
 		interval = min(max(tailPollWait, time.Duration(len(e.agents.byID))*time.Second/maxTailPollsPerSecond), maxPollWait)
 	}
-	if !e.connectionsLimited() || a.expectsCompletion() && e.longPolls < e.maxLongPolls() {
+	if !e.connectionsLimited() || a.record.Terminating || a.expectsCompletion() && e.longPolls < e.maxLongPolls() {
 		return pollPlan{wait: interval}
 	}
 	if len(a.sortedRuns) == 0 {
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -117,11 +117,7 @@
 }
 
 func sameAgent(registered, reported *wire.Agent) bool {
-	if registered.Leaving && !reported.Leaving {
-		reported = proto.Clone(reported).(*wire.Agent)
-		reported.Leaving = true
-	}
-	return proto.Equal(registered, reported)
+	return proto.Equal(registered, graph.WithShutdown(reported, registered))
 }
 
 func (e *Engine) commitReport(command *wire.WorkCommand, done func(error)) {
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -127,6 +127,8 @@
 		return "job ended"
 	case r.task.Done:
 		return "task is done"
+	case r.agent.record.Terminating:
+		return "agent terminates"
 	case r.agent.record.Leaving && e.shouldMigrate(r):
 		return "agent is leaving"
 	default:
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -49,6 +49,7 @@
 	crash, partition     float64
 	leaderChange, cancel float64
 	leave                float64
+	noticeLost           float64 // of each leaving agent: its notice gets no answer
 	permanentLoss        float64 // an agent is lost, and a new one starts at another address
 	failingAgent         float64 // of each agent: all its runs fail
 	shrink               float64 // an agent's capacity is halved for a while
@@ -331,7 +332,7 @@
 	deliver := func(reply func(drive.Answer)) {
 		agent := s.agents[order.Agent.Address]
 		if agent == nil && s.refusingAddresses[order.Agent.Address] {
-			reply(drive.Answer{Order: order, Verdict: drive.NotSent, ConnectionClosed: true})
+			reply(drive.Answer{Order: order, Verdict: drive.NotSent, ConnectionClosed: true, ConnectionRefused: true})
 		}
 		if agent == nil || agent.isUnreachable() {
 			return
--- a/internal/sched/drive/sync.go
+++ b/internal/sched/drive/sync.go
@@ -45,6 +45,7 @@
 		a = e.newAgent(registered)
 	}
 	e.agents.update(a, registered.Record)
+	e.noteTermination(a)
 	e.markChanged(a)
 	for t := range registered.Tasks {
 		e.syncTask(a, t)
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -42,6 +42,8 @@
 		return Result{Err: g.cancel(at, body.Cancel)}
 	case *wire.WorkCommand_PutAgent:
 		return Result{Err: g.putAgent(body.PutAgent)}
+	case *wire.WorkCommand_TerminateAgent:
+		return Result{Err: g.terminateAgent(body.TerminateAgent.Id)}
 	case *wire.WorkCommand_DropAgent:
 		return Result{Err: g.removeAgent(at, body.DropAgent)}
 	case *wire.WorkCommand_Place:
@@ -201,8 +203,7 @@
 	}
 }
 
-// putAgent registers an agent or updates its record. A leaving agent stays marked as
-// leaving: a report that says otherwise is an older one.
+// putAgent registers an agent or updates its record.
 func (g *Graph) putAgent(r *wire.Agent) error {
 	if g.AgentRemoved(r.Id) {
 		return ErrUnknownAgent
@@ -219,12 +220,31 @@
 		// registered runs belong to the first.
 		return ErrIncarnationMismatch
 	}
-	if existing.Record.Leaving && !r.Leaving {
-		// The command's record may still be serialized for other replicas.
-		r = proto.Clone(r).(*wire.Agent)
-		r.Leaving = true
+	g.setRecord(existing, WithShutdown(r, existing.Record))
+	g.notifyChange()
+	return nil
+}
+
+// WithShutdown returns a reported record with the progress of the shutdown that is registered: a
+// report that says otherwise is an older one.
+func WithShutdown(reported, registered *wire.Agent) *wire.Agent {
+	leaving, terminating := reported.Leaving || registered.Leaving, reported.Terminating || registered.Terminating
+	if leaving == reported.Leaving && terminating == reported.Terminating {
+		return reported
+	}
+	r := proto.Clone(reported).(*wire.Agent)
+	r.Leaving, r.Terminating = leaving, terminating
+	return r
+}
+
+// terminateAgent records that an agent's process ends. Until it has, its runs may exist.
+func (g *Graph) terminateAgent(id string) error {
+	a := g.agents[id]
+	if a == nil {
+		return ErrUnknownAgent
 	}
-	g.setRecord(existing, r)
+	g.setRecord(a, WithShutdown(a.Record, &wire.Agent{Leaving: true, Terminating: true}))
+	g.notifyAgentChange(id)
 	g.notifyChange()
 	return nil
 }
