No start is repeated to an agent that has announced that it leaves

Cause: a start that got no answer is repeated every 100 ms, with all that may have changed since checked but for the agent's leaving.

Change: such a start is abandoned like one in a drained failure domain: closed by a stop if a copy of it may still arrive, and placed elsewhere.

--- a/internal/sched/drive/invariants_test.go
+++ b/internal/sched/drive/invariants_test.go
@@ -37,6 +37,9 @@
 	if at, drained := s.drainedAt[domain]; drained && o.SentAt > at {
 		s.check(false, "%s is ordered %v after %s was drained", key, o.SentAt-at, domain)
 	}
+	if at := on.leavingAckedAt; at > 0 && o.SentAt > at+simTick {
+		s.check(false, "%s is ordered %v after %s has announced that it leaves", key, o.SentAt-at, on.record.Id)
+	}
 	if step.SpreadLimit > 0 {
 		siblings := 0
 		for _, r := range on.runs {
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -59,7 +59,9 @@
 		// fullCPUMillis is the capacity before it shrank; 0 if it isn't shrunk.
 		fullCPUMillis uint64
 		shrunkAt      time.Duration
-		failing       bool
+		// leavingAckedAt is when its announcement that it leaves was acknowledged; 0 before.
+		leavingAckedAt time.Duration
+		failing        bool
 		// failsAfter is when a run on the failing agent fails, before it would by itself; 0
 		// means never.
 		failsAfter    time.Duration
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -199,6 +199,10 @@
 
 // start sends the start order, for the first time or again.
 func (e *Engine) start(r *run) {
+	if r.agent.record.Leaving {
+		e.abandonStart(r, "agent is leaving")
+		return
+	}
 	if e.drained(r.agent) {
 		e.abandonStart(r, "failure domain is drained")
 		return
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -422,7 +422,11 @@
 	if gone {
 		record = &wire.Agent{Id: agent.record.Id} // doesn't identify the incarnation
 	}
-	s.engine.HandleReport(s.now, &wire.ReportAgentRequest{Agent: record, Sequence: agent.sequence, Gone: gone}, func(error) {})
+	s.engine.HandleReport(s.now, &wire.ReportAgentRequest{Agent: record, Sequence: agent.sequence, Gone: gone}, func(err error) {
+		if err == nil && record.Leaving && agent.leavingAckedAt == 0 {
+			agent.leavingAckedAt = s.now
+		}
+	})
 }
 
 // run advances the simulation by a time, with random jobs at a rate per second.
--- a/internal/sched/drive/terminate_test.go
+++ b/internal/sched/drive/terminate_test.go
@@ -132,3 +132,20 @@
 	s.run(500*time.Millisecond, 0)
 	assert.Equal(t, len(s.graph.AgentsByName(leaving.record.Id)), 0)
 }
+
+// Guards against a start that is sent again to an agent that has announced meanwhile that it leaves.
+func TestLeavingAgentGetsNoRepeatedStart(t *testing.T) {
+	s := newSim(1, 1, true, faults{incarnations: true})
+	s.run(2*time.Second, 0)
+	leaving := s.agents["10.0.0.0:1"]
+	s.faults.late = 1
+	s.submitJob(&wire.Step{Count: 1, CpuMillis: 1000, EstimateMs: 500})
+	s.run(3*commitLatency, 0)
+	s.faults.late = 0
+	assert.Equal(t, runCount(s, 0), uint32(1))
+	leaving.record.Leaving = true
+	s.report(leaving, false)
+	s.run(1500*time.Millisecond, 0) // the first start arrives later
+	assert.Equal(t, len(leaving.started), 0, "started %v", leaving.started)
+	assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
+}
