Opportunistic runs are evicted only where another agent can take them

Callers saw a job that never runs again (LOST): its opportunistic task was evicted from the only agent that could run it, by its label, its size or for lack of room elsewhere, and wasn't placed there again, whatever became of the standing task that it had disturbed.

Cause: an eviction left a mark that made the agent's cost infinite for the task, and that only another eviction or a change of leader ended; nothing asked whether another agent could take the run.

Change: a run is evicted if another agent can take it now, and not from the same agent within 30 s; otherwise it is throttled in place and evicted once another agent can take it. The agent is ruled out for 2 s and costs more from then on. A halted run resumes at the share at which standing tasks keep their targets, and a task that only waits because it would disturb starts at such a share after 2 s, in a pool that is mostly idle. Explanations name the limit "evicted".

--- a/internal/sched/drive/contention.go
+++ b/internal/sched/drive/contention.go
@@ -21,10 +21,11 @@
 	return max(cpuMillis-f.reclaimable, 0) / max(f.capacityMillis, 1)
 }
 
-// relieveContention evicts opportunistic runs of an agent whose expected CPU usage exceeds
-// contendedUtilization, until it is within the capacity. It takes the runs of the latest
-// jobs and only those that resume from a checkpoint elsewhere.
-func (e *Engine) relieveContention(a *agent) (evicted bool) {
+// relieveContention takes opportunistic runs off the CPU of an agent whose expected CPU usage
+// exceeds contendedUtilization, until it is within the capacity: the runs of the latest jobs,
+// and only those that can resume from a checkpoint. It evicts those that can continue
+// elsewhere, and halts the others. It returns whether it did anything.
+func (e *Engine) relieveContention(a *agent) (relieved bool) {
 	if !e.enabled(ContentionAware) {
 		return false
 	}
@@ -34,21 +35,26 @@
 	}
 	excess := expected - maxUtilization
 	runs := throttleableRuns(a)
+	evicted, halted := 0, 0
 	for i := len(runs) - 1; i >= 0 && excess > 0; i-- {
 		r := runs[i]
-		step := r.task.Stage.Step
-		if !step.Checkpointable || step.Gang || step.RequiredLabel != "" {
-			continue // it loses its work, or may find no other agent
+		if step := r.task.Stage.Step; !step.Checkpointable || step.Gang {
+			continue
 		}
 		excess -= r.currentShare()
-		e.evict(r, "agent's CPU is overcommitted")
+		if e.mayEvict(r) {
+			e.evict(r, "agent's CPU is overcommitted")
+			contentionEvictions.Inc()
+			evicted++
+		} else {
+			halted++
+		}
 		e.setThrottle(r, 0, nil)
-		contentionEvictions.Inc()
-		evicted = true
 	}
-	if evicted {
-		a.throttleChangedAt = e.now
-		e.options.Logger.Info("runs evicted for contention", "agent", a.record.Id, "expected_utilization", expected)
+	if evicted+halted == 0 {
+		return false
 	}
-	return evicted
+	a.throttleChangedAt = e.now
+	e.options.Logger.Info("contention relieved", "agent", a.record.Id, "expected_utilization", expected, "evicted", evicted, "halted", halted)
+	return true
 }
--- /dev/null
+++ b/internal/sched/drive/evict.go
@@ -0,0 +1,120 @@
+// This file defines when opportunistic runs are evicted, and where they may continue.
+
+package drive
+
+import (
+	"math"
+	"time"
+
+	"sycamoredeck.example/internal/store/graph"
+)
+
+const (
+	// evictionReturnDelay is how long after its eviction from an agent a task isn't placed
+	// there again. From then on other agents are only preferred: the agent may be the only
+	// one left.
+	evictionReturnDelay = 2 * time.Second
+	// evictionInterval is the least time between two evictions of a task from one agent. A run
+	// that interferes before is throttled.
+	evictionInterval = 30 * time.Second
+	// throttledStartWait is how long a task waits for an agent on which it interferes with
+	// nothing, until it is started throttled.
+	throttledStartWait = 2 * time.Second
+	// maxThrottledStartUse is the CPU usage of a pool, as a share of its capacity, up to which
+	// tasks are started throttled. With less free CPU others end soon, and leave an agent.
+	maxThrottledStartUse = 0.5
+	// maxAlternatives limits the agents that are examined for one on which a run can continue.
+	maxAlternatives = 200
+)
+
+// evict stops a run so that it continues on another agent.
+func (e *Engine) evict(r *run, reason string) {
+	r.stopReason = reason
+	e.markChanged(r.agent)
+	runsEvicted.Inc()
+	r.task.AvoidAgent, r.task.EvictedAt = r.agent.record.Id, e.now
+}
+
+// evictInterfering evicts a run that interferes with a standing run.
+func (e *Engine) evictInterfering(r, standing *run) {
+	e.evict(r, "interferes with a standing run")
+	e.options.Logger.Info("interfering run evicted", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
+		"agent", r.agent.record.Id, "disturbed", standing.task.Stage.Job.ID, "tail_ms", standing.usage)
+}
+
+// mayEvict reports whether a run keeps its work if it is evicted, and can continue on another
+// agent now. A run that can't is better off throttled: it makes some progress, and doesn't
+// depend on the agent's being free again.
+func (e *Engine) mayEvict(r *run) bool {
+	t := r.task
+	recently := t.AvoidAgent == r.agent.record.Id && e.now-t.EvictedAt < evictionInterval
+	return t.Stage.Step.Checkpointable && !t.Stage.Step.Gang && !recently && e.enabled(Migrate) && e.hasAlternative(r)
+}
+
+// hasAlternative reports whether another agent can take an opportunistic run now.
+func (e *Engine) hasAlternative(r *run) bool {
+	agents := e.agents.byPool[e.poolOf(r.task.Stage.Job)]
+	for i := range min(len(agents), maxAlternatives) {
+		a := agents[(e.searchOffset+i)%len(agents)]
+		if a == r.agent || !e.schedulable(a) {
+			continue
+		}
+		if free := e.freeResourcesOf(a); free.fits(r.task.Stage) && e.acceptablePercent(r.task.Stage, free) == fullPercent {
+			e.searchOffset += i
+			return true
+		}
+	}
+	return false
+}
+
+// evictThrottled evicts a run that makes little progress, if it can continue elsewhere.
+func (e *Engine) evictThrottled(a *agent) {
+	for _, r := range throttledRuns(a) {
+		if r.targetPercent < evictBelowPercent && e.mayEvict(r) {
+			a.throttleChangedAt = e.now
+			e.evict(r, "throttled, and there is room elsewhere")
+			e.setThrottle(r, 0, nil)
+			return
+		}
+	}
+}
+
+// throttledRuns returns the opportunistic runs on an agent that are throttled and aren't being
+// stopped.
+func throttledRuns(a *agent) []*run {
+	var list []*run
+	for _, r := range a.sortedRuns {
+		if r.task.Stage.Step.Opportunistic && r.phase == phaseRunning && r.targetPercent < fullPercent && r.stopReason == "" {
+			list = append(list, r)
+		}
+	}
+	return list
+}
+
+// barredByEviction reports whether an opportunistic task was evicted from an agent so recently
+// that it isn't placed there.
+func barredByEviction(t *graph.Task, agent string, now time.Duration) bool {
+	return t.AvoidAgent == agent && t.EvictedAt != 0 && now-t.EvictedAt < evictionReturnDelay
+}
+
+// acceptablePercent returns the CPU percentage up to which a task of a stage may run on an
+// agent so that all standing tasks there are expected to stay below their limits.
+func (e *Engine) acceptablePercent(s *graph.Stage, free *freeResources) int {
+	e.predictTails(free)
+	share := free.agent.cpuShare(float64(s.Step.CpuMillis) * defaultUseShare)
+	percent := float64(fullPercent)
+	for _, t := range free.latencyTasks {
+		increase := e.tailModel.Weight(t.image, s.Step.Image) * share
+		if increase >= minInterference {
+			percent = min(percent, fullPercent*(t.utilizationLimit-t.expectedUtilization)/increase)
+		}
+	}
+	return int(math.Max(percent, 0)) / percentStep * percentStep
+}
+
+// allowsThrottledStart reports whether tasks of a stage may be started throttled: they have
+// waited for an agent on which they interfere with nothing, and not for lack of CPU.
+func (p *pass) allowsThrottledStart(s *graph.Stage) bool {
+	summary := p.summaries[p.engine.poolOf(s.Job)]
+	return summary != nil && summary.reclaimableMillis >= (1-maxThrottledStartUse)*summary.capacityMillis && p.waited(s) >= throttledStartWait
+}
--- a/internal/sched/drive/explain.go
+++ b/internal/sched/drive/explain.go
@@ -278,12 +278,12 @@
 		return finalAttemptLimit
 	case s.Standing() && t.Run == 0 && !p.leavesHoles(s, f):
 		return reservationLimit
-	case !math.IsInf((&rating{free: f, cost: cost}).costOf(t), 1):
+	case !math.IsInf((&rating{free: f, cost: cost}).costOf(t, p.engine.now), 1):
 		return noLimit
 	case t.OnFinalAttempt():
 		return finalAttemptLimit
 	default:
-		return interferenceLimit // an opportunistic task isn't placed again where it was evicted
+		return evictedLimit
 	}
 }
 
--- a/internal/sched/drive/latency.go
+++ b/internal/sched/drive/latency.go
@@ -126,9 +126,9 @@
 
 // haltColocated stops all opportunistic runs that are colocated with a standing run from
 // using the CPU while it exceeds its target. It covers runs that are each below
-// minInterference but together exceed the target, and errors of the model. Checkpointable
-// runs that interfere are evicted, the others are throttled to zero, and no new ones are
-// placed.
+// minInterference but together exceed the target, and errors of the model. Runs that
+// interfere and can continue elsewhere are evicted, the others are throttled to zero, and no
+// new ones are placed.
 func (e *Engine) haltColocated(standing *run) {
 	interfering := e.interferingRuns(standing)
 	if len(interfering) == 0 {
@@ -139,7 +139,7 @@
 		"job", standing.task.Stage.Job.ID, "step", standing.task.Stage.Index, "index", standing.task.Index, "tail_ms", standing.usage,
 		"target_ms", standing.task.Stage.Step.TailTargetMs, "over", e.now-standing.overTargetSince, "runs", len(interfering))
 	for _, r := range interfering {
-		if r.task.Stage.Step.Checkpointable && e.interferenceOn(standing, r) >= minInterference {
+		if e.interferenceOn(standing, r) >= minInterference && e.mayEvict(r) {
 			e.evictInterfering(r, standing)
 		}
 		e.setThrottle(r, 0, standing)
--- a/internal/sched/drive/limits.go
+++ b/internal/sched/drive/limits.go
@@ -22,6 +22,8 @@
 	memoryLimit
 	reservationLimit
 	interferenceLimit
+	// evictedLimit is an agent that the task was evicted from a moment ago.
+	evictedLimit
 	labelLimit
 	spreadLimit
 	adviceLimit
@@ -42,7 +44,7 @@
 var (
 	limitNames = [limitCount]string{
 		noLimit: "none", cpuLimit: "cpu", capacityLimit: "capacity", fragmentationLimit: "fragmentation", memoryLimit: "memory",
-		reservationLimit: "reservation", interferenceLimit: "interference", labelLimit: "label", spreadLimit: "spread", adviceLimit: "advice",
+		reservationLimit: "reservation", interferenceLimit: "interference", evictedLimit: "evicted", labelLimit: "label", spreadLimit: "spread", adviceLimit: "advice",
 		finalAttemptLimit: "final-attempt", quarantineLimit: "quarantine", dueLimit: "due", gangLimit: "gang",
 		unreachableLimit: "unreachable", leavingLimit: "leaving", drainedLimit: "drained", notReadyLimit: "not-ready",
 	}
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -22,6 +22,9 @@
 	// interferenceCost is the cost, in run times, of raising the utilization of the
 	// standing tasks on an agent from 0 to 1.
 	interferenceCost = 8.0
+	// throttledStartCost is the cost, in run times, of an agent on which a task has to be
+	// throttled. It outweighs all others but that of an eviction from there.
+	throttledStartCost = 10.0
 )
 
 type (
@@ -34,6 +37,8 @@
 		tight    map[string]*tightPool
 		wallTime time.Time
 		placed   []*wire.RunPlacement
+		// throttled are the CPU percentages of the placed runs that start throttled.
+		throttled map[*wire.RunPlacement]int
 		// unplaceable holds, by task class, the size of the latest task that fit on no
 		// agent in this pass; zero if there is none.
 		unplaceable []taskSize
@@ -81,7 +86,7 @@
 	e.placementPending = true
 	placements := p.placed
 	e.propose(&wire.WorkCommand{Body: &wire.WorkCommand_Place{Place: &wire.PlaceRuns{Placements: placements}}},
-		func(res state.Result, err error) { e.handlePlacements(placements, res, err) })
+		func(res state.Result, err error) { e.handlePlacements(placements, p.throttled, res, err) })
 }
 
 func (e *Engine) newPass(wall time.Time) *pass {
@@ -95,7 +100,7 @@
 
 // handlePlacements starts the runs whose placement was committed. They must not be
 // started earlier: a later leader has to know of every run that may exist.
-func (e *Engine) handlePlacements(placements []*wire.RunPlacement, res state.Result, err error) {
+func (e *Engine) handlePlacements(placements []*wire.RunPlacement, throttled map[*wire.RunPlacement]int, res state.Result, err error) {
 	e.placementPending = false
 	if err != nil {
 		return
@@ -114,6 +119,9 @@
 		e.progress[t.Stage].recordCommit(e.now)
 		e.syncTask(a, t)
 		r := e.runs[t]
+		if percent, ok := throttled[p]; ok {
+			r.targetPercent = percent
+		}
 		if e.reasonToStop(r) != "" {
 			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "no longer needed before the start was sent")
 			continue
@@ -238,6 +246,10 @@
 }
 
 func (p *pass) assume(t *graph.Task, free *freeResources, number uint32) {
+	percent := fullPercent
+	if t.Stage.Step.Opportunistic {
+		percent = p.engine.acceptablePercent(t.Stage, free)
+	}
 	p.recordTaken(t.Stage, free)
 	free.assume(t)
 	if summary := p.summaries[p.engine.poolOf(t.Stage.Job)]; summary != nil {
@@ -246,7 +258,14 @@
 	p.recordColocated(t.Stage, free)
 	id := t.ID()
 	id.Run = number
-	p.placed = append(p.placed, &wire.RunPlacement{Id: id, Agent: free.agent.record.Id})
+	placement := &wire.RunPlacement{Id: id, Agent: free.agent.record.Id}
+	p.placed = append(p.placed, placement)
+	if percent < fullPercent {
+		if p.throttled == nil {
+			p.throttled = map[*wire.RunPlacement]int{}
+		}
+		p.throttled[placement] = percent
+	}
 }
 
 // recordColocated updates the expected utilization of the standing tasks on an agent for
@@ -278,11 +297,14 @@
 		cost *= p.engine.options.OtherRackFactor
 	}
 	if step.Opportunistic {
-		added, acceptable := p.interference(s, free)
-		if !acceptable {
+		switch percent := p.engine.acceptablePercent(s, free); {
+		case percent == fullPercent:
+		case percent > 0 && p.allowsThrottledStart(s):
+			cost += throttledStartCost
+		default:
 			return math.Inf(1)
 		}
-		return cost + added*interferenceCost - free.reclaimable/max(free.capacityMillis, 1)
+		return cost + p.interference(s, free)*interferenceCost - free.reclaimable/max(free.capacityMillis, 1)
 	}
 	if step.Standing {
 		// Standing tasks with the same image suffer from the same colocated images.
--- a/internal/sched/drive/resources.go
+++ b/internal/sched/drive/resources.go
@@ -143,17 +143,15 @@
 }
 
 // interference returns how much a task would add to the utilization of the standing tasks
-// on an agent, and whether all of them are expected to stay below their limits.
-func (p *pass) interference(s *graph.Stage, free *freeResources) (added float64, acceptable bool) {
+// on an agent.
+func (p *pass) interference(s *graph.Stage, free *freeResources) float64 {
 	p.engine.predictTails(free)
 	share := free.agent.cpuShare(float64(s.Step.CpuMillis) * defaultUseShare)
-	acceptable = true
+	added := 0.0
 	for _, t := range free.latencyTasks {
-		increase := p.engine.tailModel.Weight(t.image, s.Step.Image) * share
-		added += increase
-		acceptable = acceptable && (t.expectedUtilization+increase <= t.utilizationLimit || increase < minInterference)
+		added += p.engine.tailModel.Weight(t.image, s.Step.Image) * share
 	}
-	return added, acceptable
+	return added
 }
 
 // assume reserves the resources of a task for the rest of this pass. The next pass
--- a/internal/sched/drive/search.go
+++ b/internal/sched/drive/search.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"time"
 
 	"sycamoredeck.example/internal/store/graph"
 )
@@ -45,6 +46,8 @@
 	// millicores.
 	poolSummary struct {
 		freeMillis, capacityMillis float64
+		// reclaimableMillis is the CPU that no run is expected to use.
+		reclaimableMillis float64
 		// largestFree and largestReclaimable are the maxima over the agents, for ordinary
 		// and for opportunistic tasks.
 		largestFree, largestReclaimable float64
@@ -62,6 +65,7 @@
 		}
 		s.freeMillis += f.cpuMillis
 		s.capacityMillis += f.capacityMillis
+		s.reclaimableMillis += max(f.reclaimable, 0)
 		s.largestFree = max(s.largestFree, f.cpuMillis)
 		s.largestReclaimable = max(s.largestReclaimable, f.reclaimable)
 	}
@@ -124,7 +128,7 @@
 		bestCost := math.Inf(1)
 		for i := range sr.ratings {
 			r := &sr.ratings[i]
-			cost := r.costOf(t) + sr.pass.healthCost(t, r.free)
+			cost := r.costOf(t, sr.pass.engine.now) + sr.pass.healthCost(t, r.free)
 			if cost < bestCost || cost == bestCost && best != nil && r.index < best.index {
 				best, bestCost = r, cost
 			}
@@ -141,9 +145,9 @@
 }
 
 // costOf returns the cost of placing one task, given its earlier runs.
-func (r *rating) costOf(t *graph.Task) float64 {
+func (r *rating) costOf(t *graph.Task, now time.Duration) float64 {
 	id := r.free.agent.record.Id
-	if t.AvoidAgent == id && t.Stage.Step.Opportunistic {
+	if barredByEviction(t, id, now) {
 		return math.Inf(1)
 	}
 	cost := r.cost + r.free.crashCost(t)
--- a/internal/sched/drive/throttle.go
+++ b/internal/sched/drive/throttle.go
@@ -22,8 +22,8 @@
 	// minThrottleInterval is the pause between two throttle changes on an agent, until
 	// the effect of the first is visible in the tail latencies.
 	minThrottleInterval = 700 * time.Millisecond
-	// evictBelowPercent is the CPU percentage below which a checkpointable run is
-	// evicted instead of throttled.
+	// evictBelowPercent is the CPU percentage below which a run is evicted, if it can
+	// continue elsewhere, instead of throttled.
 	evictBelowPercent = 25
 	// percentStep is the granularity of CPU percentages.
 	percentStep = 10
@@ -61,28 +61,13 @@
 		percent := int(float64(r.targetPercent)*(1-fraction)) / percentStep * percentStep
 		excess -= added * fraction
 		a.throttleChangedAt = e.now
-		if percent < evictBelowPercent && r.task.Stage.Step.Checkpointable && e.enabled(Migrate) {
+		if percent < evictBelowPercent && e.mayEvict(r) {
 			e.evictInterfering(r, standing)
 		}
 		e.setThrottle(r, percent, standing)
 	}
 }
 
-// evictInterfering stops an opportunistic run so that it resumes on another agent.
-func (e *Engine) evictInterfering(r, standing *run) {
-	e.evict(r, "interferes with a standing run")
-	e.options.Logger.Info("interfering run evicted", "job", r.task.Stage.Job.ID, "step", r.task.Stage.Index, "index", r.task.Index, "run", r.number,
-		"agent", r.agent.record.Id, "disturbed", standing.task.Stage.Job.ID, "tail_ms", standing.usage)
-}
-
-// evict stops a run so that it resumes on another agent.
-func (e *Engine) evict(r *run, reason string) {
-	r.stopReason = reason
-	e.markChanged(r.agent)
-	runsEvicted.Inc()
-	r.task.AvoidAgent = r.agent.record.Id
-}
-
 // interferenceOn returns how much a run currently adds to the utilization of a standing
 // run.
 func (e *Engine) interferenceOn(standing, r *run) float64 {
@@ -111,19 +96,38 @@
 }
 
 // relaxThrottles releases the first throttled run with which all standing runs are
-// predicted to stay within their targets.
+// predicted to stay within their targets. If there is none, it evicts one that can continue
+// elsewhere.
 func (e *Engine) relaxThrottles(a *agent) {
 	for _, r := range a.sortedRuns {
 		t := r.task
 		if !t.Stage.Step.Opportunistic || r.targetPercent >= fullPercent || r.phase != phaseRunning || r.stopReason != "" {
 			continue
 		}
-		if e.withinTargets(a, t.Stage.Step.Image, r.unthrottledShare()*float64(fullPercent-max(r.cpuPercent, 0))/fullPercent) {
+		if percent := e.releasePercent(r); percent > r.targetPercent {
 			a.throttleChangedAt = e.now
-			e.setThrottle(r, fullPercent, nil)
+			e.setThrottle(r, percent, nil)
 			return
 		}
 	}
+	e.evictThrottled(a)
+}
+
+// releasePercent returns the CPU percentage at which all standing runs beside a throttled run
+// are predicted to stay within their targets: all of it, or for a run that is halted, what it
+// may have. The run would make no progress until the standing runs are gone otherwise.
+func (e *Engine) releasePercent(r *run) int {
+	lowest := fullPercent
+	if r.targetPercent == 0 {
+		lowest = percentStep
+	}
+	for percent := fullPercent; percent >= lowest; percent -= percentStep {
+		more := float64(percent-max(r.cpuPercent, 0)) / fullPercent
+		if e.withinTargets(r.agent, r.task.Stage.Step.Image, r.unthrottledShare()*more) {
+			return percent
+		}
+	}
+	return r.targetPercent
 }
 
 // withinTargets reports whether all standing runs on an agent are predicted to stay
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -72,9 +72,11 @@
 		Agent string
 		// LastFailedOn is the agent of the latest failed run.
 		LastFailedOn string
-		// AvoidAgent is the agent that its latest run was evicted or moved from. It is set
-		// by the leader and isn't part of the replicated state.
+		// AvoidAgent is the agent that its latest run was evicted or moved from, and EvictedAt
+		// when it was evicted, on the boot clock; 0 if it was moved. They are set by the leader
+		// and aren't part of the replicated state.
 		AvoidAgent string
+		EvictedAt  time.Duration
 	}
 )
 
