Only connections refused after the notice show the end of a terminating agent

A connection that an agent refused while it restarted its listener, before its notice of shutdown, released its runs at the notice. TestTerminatingAgentKeepsItsRuns, connections refused before the notice, failed before: the task starts elsewhere while its first run exists. Refusals count from when the leader knows of the notice, by the time of the order.

--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -60,7 +60,8 @@
 	// expiryCommitted is set once the expiry of its leases is proposed or committed.
 	expiryCommitted  bool
 	connectionClosed bool // its process has ended; see recordClosedConnection
-	// connectionRefused is set while its address refuses connections.
+	// connectionRefused is set while its address refuses connections after its notice of
+	// shutdown.
 	connectionRefused bool
 	// terminatingSince is when this leader learned that it terminates; 0 if it doesn't.
 	terminatingSince time.Duration
@@ -271,7 +272,7 @@
 		a.connectionClosed, a.closedAt = true, e.now
 		e.agents.troubled.add(a)
 	}
-	if ans.ConnectionRefused {
+	if ans.ConnectionRefused && a.terminatingSince != 0 && ans.Order.SentAt >= a.terminatingSince {
 		a.connectionRefused = true
 	}
 }
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -317,7 +317,7 @@
 	case Throttle:
 		e.handleThrottleAnswer(a, ans)
 	}
-	if a.connectionRefused && a.record.Terminating {
+	if a.connectionRefused {
 		e.reconcileAgent(a)
 	}
 }
--- a/internal/sched/drive/terminate.go
+++ b/internal/sched/drive/terminate.go
@@ -1,4 +1,4 @@
-// This file defines how agents that end as planned are drained and dropped.
+// This file defines how agents that give notice of their shutdown are dropped.
 
 package drive
 
@@ -15,7 +15,7 @@
 type terminationProof string
 
 const (
-	// proofRefused: its address refuses connections, so its process has ended.
+	// proofRefused: its address refuses connections since its notice, so its process has ended.
 	proofRefused terminationProof = "connection refused"
 	// proofStopped: the agent has reported the ends of all its runs.
 	proofStopped terminationProof = "all runs ended"
--- a/internal/sched/drive/terminate_test.go
+++ b/internal/sched/drive/terminate_test.go
@@ -1,4 +1,4 @@
-// This file tests how agents that end as planned are drained and dropped.
+// This file tests how agents that give notice of their shutdown are dropped.
 
 package drive_test
 
@@ -89,6 +89,20 @@
 		s.terminate(leaving)
 		s.assertRestarts(t, leaving, 500*time.Millisecond)
 	})
+	t.Run("connections refused before the notice", func(t *testing.T) {
+		s, leaving := simWithLeavingAgent()
+		address := leaving.record.Address
+		delete(s.agents, address)
+		s.closeConnections(leaving)
+		s.run(100*time.Millisecond, 0)
+		s.agents[address] = leaving
+		delete(s.refusingAddresses, address)
+		s.report(leaving, true)
+		leaving.unreachableUntil = s.now + 4*time.Second
+		s.run(4*time.Second, 0)
+		assert.Equal(t, runCount(s, 0), uint32(1))
+		assert.Assert(t, len(s.violations) == 0, "%v", s.violations)
+	})
 	t.Run("notice repeated before its commit", func(t *testing.T) {
 		s, leaving := simWithLeavingAgent()
 		s.report(leaving, true)
