--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -231,6 +231,7 @@
 		return
 	}
 	n.appliedIndex, n.appliedTerm = s.Index, s.Term
+	n.appliedBytes, n.snapshotBytes = 0, uint64(len(s.State))
 	n.options.Logger.Info("state restored from leader snapshot", "index", s.Index)
 }
 
@@ -240,6 +241,7 @@
 		result = n.machine.Apply(r.Command)
 	}
 	n.appliedIndex, n.appliedTerm = r.Index, r.Term
+	n.appliedBytes += uint64(proto.Size(r))
 	entriesAppliedTotal.Inc()
 	w, ok := n.waiters[r.Index]
 	if !ok {
@@ -388,12 +390,20 @@
 	}
 }
 
-// maybeSnapshot takes a snapshot once SnapshotThreshold entries have been applied since the
-// last one. The state is serialized on the event loop and written to disk on another
-// goroutine.
+// snapshotDue reports whether the entries applied since the last snapshot have reached the
+// number or the size after which a new one is taken.
+func (n *Node) snapshotDue() bool {
+	first := n.core.Status().FirstIndex
+	if n.appliedIndex < first {
+		return false
+	}
+	return n.appliedIndex-first+1 >= n.options.SnapshotThreshold || n.appliedBytes >= max(n.options.SnapshotBytes, snapshotGrowth*n.snapshotBytes)
+}
+
+// maybeSnapshot takes a snapshot if one is due. The state is serialized on the event loop and
+// written to disk on another goroutine.
 func (n *Node) maybeSnapshot() {
-	status := n.core.Status()
-	if n.savingSnapshot || n.failed || n.appliedIndex < status.FirstIndex || n.appliedIndex-status.FirstIndex+1 < n.options.SnapshotThreshold {
+	if n.savingSnapshot || n.failed || !n.snapshotDue() {
 		return
 	}
 	data, err := n.machine.Save()
@@ -406,6 +416,7 @@
 		Membership: proto.Clone(n.core.MembersAt(n.appliedIndex)).(*wire.Membership),
 	}
 	n.savingSnapshot = true
+	n.appliedBytes, n.snapshotBytes = 0, uint64(len(data))
 	n.writers.Go(func() {
 		n.snapshotMu.Lock()
 		err := n.log.WriteSnapshot(s)
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -40,6 +40,11 @@
 	// timeout. The rest allows for clock drift between replicas and for the time between
 	// checking the lease and acting on it.
 	leaderLeasePercent = 80
+	// defaultSnapshotBytes is the default of Options.SnapshotBytes.
+	defaultSnapshotBytes = 16 << 20
+	// snapshotGrowth is the least size of the entries between two snapshots, in sizes of the
+	// first. It bounds what a large state costs to write.
+	snapshotGrowth = 2
 )
 
 // Errors returned by proposals and reads.
@@ -76,6 +81,10 @@
 		// SnapshotThreshold is the number of applied log entries since the last snapshot
 		// after which a new one is taken.
 		SnapshotThreshold uint64
+		// SnapshotBytes is the same as the size of the entries, or twice the size of the last
+		// snapshot if that is larger. Configurations may be thousands of times larger than
+		// other entries. 16 MiB when 0.
+		SnapshotBytes uint64
 		// RestartElection is passed to the replicated log: see quorum.Options.
 		RestartElection bool
 		Clock           clockwork.Clock
@@ -172,6 +181,9 @@
 		// recentPersistTime is the longest time that a recent write to disk took.
 		recentPersistTime time.Duration
 		snapshotMu        sync.Mutex
+		// appliedBytes is the size of the entries applied since the last snapshot, and
+		// snapshotBytes the size of that.
+		appliedBytes, snapshotBytes uint64
 		// compactIndex is the index up to which log segments are due for removal, or 0.
 		compactIndex uint64
 		writers      sync.WaitGroup
@@ -184,6 +196,9 @@
 	if options.BootTime == nil {
 		options.BootTime = boot.Now
 	}
+	if options.SnapshotBytes == 0 {
+		options.SnapshotBytes = defaultSnapshotBytes
+	}
 	n := &Node{
 		options: options, log: log, machine: machine,
 		inbox: make(chan func(), inboxCapacity), stop: make(chan struct{}), done: make(chan struct{}),
@@ -194,7 +209,7 @@
 			return nil, trace.Wrap(err, "snapshot at %d", s.Index)
 		}
 	}
-	n.appliedIndex = durable.Snapshot.GetIndex()
+	n.appliedIndex, n.snapshotBytes = durable.Snapshot.GetIndex(), uint64(len(durable.Snapshot.GetState()))
 	n.core = quorum.New(quorum.Options{
 		ID:             options.ID,
 		HeartbeatTicks: ticksPerHeartbeat,
--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -222,14 +222,19 @@
 	assert.NilError(t, <-committed)
 }
 
-func folderSize(b *testing.B, folder string) int64 {
+func folderSize(t testing.TB, folder string) int64 {
+	t.Helper()
 	var size int64
-	assert.NilError(b, filepath.WalkDir(folder, func(_ string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() {
-			return err
+	assert.NilError(t, filepath.WalkDir(folder, func(_ string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() {
+			var info fs.FileInfo
+			if info, err = d.Info(); err == nil {
+				size += info.Size()
+			}
+		}
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil // removed meanwhile
 		}
-		info, err := d.Info()
-		size += info.Size()
 		return err
 	}))
 	return size
