The search for another agent is bounded for all runs of a kind

Cause: each agent with a throttled run looked through up to 200 others at each check of its tail latencies, for nothing while no agent has room.

--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -134,6 +134,8 @@
 		// progress is the progress of each stage that was seen with tasks to place.
 		progress  map[*graph.Stage]*stageProgress
 		admission admission
+		// failedSearches are the latest searches for agents on which runs can continue.
+		failedSearches map[alternativeKind]failedSearch
 		// lateStages are stages to report by reportLateStages, in scheduling order.
 		lateStages []rankedStage
 	}
@@ -185,6 +187,7 @@
 	e.runningCPU = map[loadKey]float64{}
 	e.queue, e.newlyReady = pendingQueue{}, nil
 	e.progress = map[*graph.Stage]*stageProgress{}
+	e.failedSearches = map[alternativeKind]failedSearch{}
 	e.lateStages = nil
 	e.reservations = map[*graph.Task]string{}
 	clear(e.estimates.jobs)
@@ -318,6 +321,6 @@
 		e.handleThrottleAnswer(a, ans)
 	}
 	if a.connectionRefused {
-		e.reconcileAgent(a)
+		e.reconcileAgent(a) // its tasks wait for its end
 	}
 }
--- a/internal/sched/drive/evict.go
+++ b/internal/sched/drive/evict.go
@@ -25,6 +25,28 @@
 	maxThrottledStartUse = 0.5
 	// maxAlternatives limits the agents that are examined for one on which a run can continue.
 	maxAlternatives = 200
+	// alternativeRetryInterval is the pause after a search that found none, for all tasks of the
+	// same kind. Many agents may have runs to evict, and each search examines many agents.
+	alternativeRetryInterval = 250 * time.Millisecond
+	// maxFailedSearches limits the searches that are remembered.
+	maxFailedSearches = 1000
+)
+
+type (
+	// alternativeKind identifies tasks that the same agents can take, but for their size. The
+	// stage is set only if its tasks keep apart from one another.
+	alternativeKind struct {
+		class taskClass
+		label string
+		stage *graph.Stage
+	}
+
+	// failedSearch is a search that found no agent for tasks of a size. It isn't repeated for
+	// such tasks, or larger ones, until a time.
+	failedSearch struct {
+		size  taskSize
+		until time.Duration
+	}
 )
 
 // evict stops a run so that it continues on another agent.
@@ -53,44 +75,46 @@
 
 // hasAlternative reports whether another agent can take an opportunistic run now.
 func (e *Engine) hasAlternative(r *run) bool {
-	agents := e.agents.byPool[e.poolOf(r.task.Stage.Job)]
+	s := r.task.Stage
+	kind := alternativeKind{class: e.taskClassOf(s), label: s.Step.RequiredLabel}
+	if s.Step.SpreadLimit > 0 {
+		kind.stage = s
+	}
+	if f := e.failedSearches[kind]; e.now < f.until && f.size.fitsWhere(s.Step) {
+		return false
+	}
+	agents := e.agents.byPool[kind.class.pool]
 	for i := range min(len(agents), maxAlternatives) {
 		a := agents[(e.searchOffset+i)%len(agents)]
+		agentsVisited.Inc()
 		if a == r.agent || !e.schedulable(a) {
 			continue
 		}
-		if free := e.freeResourcesOf(a); free.fits(r.task.Stage) && e.acceptablePercent(r.task.Stage, free) == fullPercent {
+		if free := e.freeResourcesOf(a); free.fits(s) && e.acceptablePercent(s, free) == fullPercent {
 			e.searchOffset += i
 			return true
 		}
 	}
+	if len(e.failedSearches) >= maxFailedSearches {
+		clear(e.failedSearches)
+	}
+	e.failedSearches[kind] = failedSearch{taskSizeOf(s.Step), e.now + alternativeRetryInterval}
 	return false
 }
 
-// evictThrottled evicts a run that makes little progress, if it can continue elsewhere.
-func (e *Engine) evictThrottled(a *agent) {
-	for _, r := range throttledRuns(a) {
+// evictThrottled evicts the first of the throttled runs on an agent that makes little progress and
+// can continue elsewhere.
+func (e *Engine) evictThrottled(a *agent, throttled []*run) {
+	for _, r := range throttled {
 		if r.targetPercent < evictBelowPercent && e.mayEvict(r) {
 			a.throttleChangedAt = e.now
-			e.evict(r, "throttled, and there is room elsewhere")
+			e.evict(r, "has room elsewhere")
 			e.setThrottle(r, 0, nil)
 			return
 		}
 	}
 }
 
-// throttledRuns returns the opportunistic runs on an agent that are throttled and aren't being
-// stopped.
-func throttledRuns(a *agent) []*run {
-	var list []*run
-	for _, r := range a.sortedRuns {
-		if r.task.Stage.Step.Opportunistic && r.phase == phaseRunning && r.targetPercent < fullPercent && r.stopReason == "" {
-			list = append(list, r)
-		}
-	}
-	return list
-}
-
 // barredByEviction reports whether an opportunistic task was evicted from an agent so recently
 // that it isn't placed there.
 func barredByEviction(t *graph.Task, agent string, now time.Duration) bool {
@@ -101,7 +125,7 @@
 // agent so that all standing tasks there are expected to stay below their limits.
 func (e *Engine) acceptablePercent(s *graph.Stage, free *freeResources) int {
 	e.predictTails(free)
-	share := free.agent.cpuShare(float64(s.Step.CpuMillis) * defaultUseShare)
+	share := free.agent.expectedShare(s.Step)
 	percent := float64(fullPercent)
 	for _, t := range free.latencyTasks {
 		increase := e.tailModel.Weight(t.image, s.Step.Image) * share
--- a/internal/sched/drive/growth_test.go
+++ b/internal/sched/drive/growth_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"sycamoredeck.example/internal/sched/drive"
+	"sycamoredeck.example/internal/schema/wire"
 )
 
 const (
@@ -76,3 +77,25 @@
 	few, many := restartVisits(fewAgents), restartVisits(manyAgents)
 	assert.Assert(t, many <= few+2, "%d visits for %d agents, %d for %d", few, fewAgents, many, manyAgents)
 }
+
+// Guards against a leader that spends its time on looking for agents for throttled runs, while none
+// can take them.
+func TestCostOfThrottledRunsIsLinear(t *testing.T) {
+	// Each agent is examined after its polls, three to four times a second where latencies are
+	// checked, and in four searches a second.
+	const limitPerAgent = 16
+	for _, agents := range []int{fewAgents, manyAgents} {
+		s := newGrowthSim(agents)
+		s.tailLatencyOf = disturbedTail
+		s.submitJob(&wire.Step{
+			Count: uint32(agents), CpuMillis: 1000, MemoryMb: 100, EstimateMs: 500, SpreadLimit: 1, Standing: true, TailTargetMs: disturbedTarget, Image: "standing",
+		})
+		s.run(4*time.Second, 0)
+		for range agents {
+			s.submitJob(opportunisticStep(10 * time.Minute))
+		}
+		s.run(6*time.Second, 0)
+		visits := visitsDuring(func() { s.run(2*time.Second, 0) })
+		assert.Assert(t, visits <= uint64(limitPerAgent*agents), "%d visits in two seconds for %d agents", visits, agents)
+	}
+}
--- a/internal/sched/drive/latency.go
+++ b/internal/sched/drive/latency.go
@@ -43,6 +43,12 @@
 	return cpuMillis / max(float64(a.record.CpuMillis), 1)
 }
 
+// expectedShare returns the share of the agent's CPU that a new opportunistic task is expected to
+// use.
+func (a *agent) expectedShare(step *wire.Step) float64 {
+	return a.cpuShare(float64(step.CpuMillis) * defaultUseShare)
+}
+
 // unthrottledShare returns the CPU share that an opportunistic run would use unthrottled.
 // Its reported usage is ignored until usageWindow after it was started or throttled, as
 // until then it covers time before that.
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -282,7 +282,7 @@
 	if !step.Opportunistic {
 		return
 	}
-	share := free.agent.cpuShare(float64(step.CpuMillis) * defaultUseShare)
+	share := free.agent.expectedShare(step)
 	for i := range free.latencyTasks {
 		free.latencyTasks[i].expectedUtilization += p.engine.tailModel.Weight(free.latencyTasks[i].image, step.Image) * share
 	}
--- a/internal/sched/drive/resources.go
+++ b/internal/sched/drive/resources.go
@@ -146,7 +146,7 @@
 // on an agent.
 func (p *pass) interference(s *graph.Stage, free *freeResources) float64 {
 	p.engine.predictTails(free)
-	share := free.agent.cpuShare(float64(s.Step.CpuMillis) * defaultUseShare)
+	share := free.agent.expectedShare(s.Step)
 	added := 0.0
 	for _, t := range free.latencyTasks {
 		added += p.engine.tailModel.Weight(t.image, s.Step.Image) * share
--- a/internal/sched/drive/throttle.go
+++ b/internal/sched/drive/throttle.go
@@ -99,54 +99,62 @@
 // predicted to stay within their targets. If there is none, it evicts one that can continue
 // elsewhere.
 func (e *Engine) relaxThrottles(a *agent) {
-	for _, r := range a.sortedRuns {
-		t := r.task
-		if !t.Stage.Step.Opportunistic || r.targetPercent >= fullPercent || r.phase != phaseRunning || r.stopReason != "" {
-			continue
-		}
+	throttled := throttledRuns(a)
+	for _, r := range throttled {
 		if percent := e.releasePercent(r); percent > r.targetPercent {
 			a.throttleChangedAt = e.now
 			e.setThrottle(r, percent, nil)
 			return
 		}
 	}
-	e.evictThrottled(a)
+	e.evictThrottled(a, throttled)
+}
+
+// throttledRuns returns the opportunistic runs on an agent that are throttled and aren't being
+// stopped.
+func throttledRuns(a *agent) []*run {
+	var list []*run
+	for _, r := range a.sortedRuns {
+		if r.task.Stage.Step.Opportunistic && r.phase == phaseRunning && r.targetPercent < fullPercent && r.stopReason == "" {
+			list = append(list, r)
+		}
+	}
+	return list
 }
 
 // releasePercent returns the CPU percentage at which all standing runs beside a throttled run
 // are predicted to stay within their targets: all of it, or for a run that is halted, what it
 // may have. The run would make no progress until the standing runs are gone otherwise.
 func (e *Engine) releasePercent(r *run) int {
-	lowest := fullPercent
-	if r.targetPercent == 0 {
-		lowest = percentStep
+	share, spare := r.unthrottledShare(), e.spareShare(r.agent, r.task.Stage.Step.Image)
+	percent := float64(fullPercent)
+	if share > 0 {
+		percent = float64(max(r.cpuPercent, 0)) + fullPercent*spare/share
 	}
-	for percent := fullPercent; percent >= lowest; percent -= percentStep {
-		more := float64(percent-max(r.cpuPercent, 0)) / fullPercent
-		if e.withinTargets(r.agent, r.task.Stage.Step.Image, r.unthrottledShare()*more) {
-			return percent
-		}
+	switch {
+	case percent >= fullPercent:
+		return fullPercent
+	case r.targetPercent == 0:
+		return int(max(percent, 0)) / percentStep * percentStep
+	default:
+		return r.targetPercent
 	}
-	return r.targetPercent
 }
 
-// withinTargets reports whether all standing runs on an agent are predicted to stay
-// within relaxBelowShare of their targets with an additional load of an image.
-func (e *Engine) withinTargets(a *agent, image string, share float64) bool {
-	if e.expectedUtilization(a)+share > maxUtilization {
-		return false
-	}
+// spareShare returns the CPU share that an additional load of an image may use on an agent so that
+// all standing runs are predicted to stay within relaxBelowShare of their targets.
+func (e *Engine) spareShare(a *agent, image string) float64 {
+	spare := maxUtilization - e.expectedUtilization(a)
 	for _, r := range a.sortedRuns {
-		t := r.task
-		if t.Stage.Step.TailTargetMs == 0 || r.phase != phaseRunning {
+		step := r.task.Stage.Step
+		if step.TailTargetMs == 0 || r.phase != phaseRunning {
 			continue
 		}
-		added := e.tailModel.Weight(t.Stage.Step.Image, image) * share
-		if added >= minInterference && e.excessUtilization(r, relaxBelowShare)+added > 0 {
-			return false
+		if weight := e.tailModel.Weight(step.Image, image); weight > 0 {
+			spare = min(spare, max(-e.excessUtilization(r, relaxBelowShare), minInterference)/weight)
 		}
 	}
-	return true
+	return spare
 }
 
 // clearThrottles releases all throttled runs on an agent without latency targets.
