--- a/internal/sched/drive/evict.go
+++ b/internal/sched/drive/evict.go
@@ -14,8 +14,8 @@
 	// there again. From then on other agents are only preferred: the agent may be the only
 	// one left.
 	evictionReturnDelay = 2 * time.Second
-	// evictionInterval is the least time between two evictions of a task from one agent. A run
-	// that interferes before is throttled.
+	// evictionInterval is the least time between two evictions of a task from the same agent,
+	// without one from another agent in between. A run that interferes before is throttled.
 	evictionInterval = 30 * time.Second
 	// throttledStartWait is how long a task waits for an agent on which it interferes with
 	// nothing, until it is started throttled.
@@ -65,8 +65,7 @@
 }
 
 // mayEvict reports whether a run keeps its work if it is evicted, and can continue on another
-// agent now. A run that can't is better off throttled: it makes some progress, and doesn't
-// depend on the agent's being free again.
+// agent now. A run that can't is throttled instead, so that it makes some progress.
 func (e *Engine) mayEvict(r *run) bool {
 	t := r.task
 	recently := t.AvoidAgent == r.agent.record.Id && e.now-t.EvictedAt < evictionInterval
--- a/internal/sched/drive/registration.go
+++ b/internal/sched/drive/registration.go
@@ -65,7 +65,8 @@
 // newRegistration returns the record of a process that isn't registered under its regular
 // ids: under the first unused id, unless the process or a successor is registered. A
 // process that was dropped while unreachable comes back this way. All leases that were
-// sent to it have expired, so it can't execute an old start any more.
+// sent to it have expired, or all its runs had ended, so it can't execute an old start any
+// more.
 func (e *Engine) newRegistration(reported *wire.Agent) (*wire.Agent, error) {
 	for _, o := range e.graph.AgentsByName(reported.Id) {
 		switch r := o.Record; {
