The history of the configuration is bounded in bytes

Callers: none seen yet; by reading and by test. Now versions are kept up to 4 MB, the current one always. Replicas that still keep more during an upgrade only answer config history differently: nothing is decided by older versions, and a repeated operation finds its content in the request.

--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -84,7 +84,7 @@
 }
 
 func (g *Graph) setCatalog(c *wire.Catalog) {
-	g.catalog = c
+	g.catalog, g.catalogBytes = c, proto.Size(c)
 	clear(g.queues)
 	clear(g.queuesByHost)
 	clear(g.pools)
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -32,6 +32,7 @@
 	// value isn't usable. It isn't safe for concurrent use.
 	Graph struct {
 		catalog       *wire.Catalog
+		catalogBytes  int
 		queues        map[string]*wire.Queue
 		queuesByHost  map[string][]*wire.Queue
 		pools         map[string]*wire.WorkerPool
@@ -70,7 +71,7 @@
 }
 
 func (g *Graph) reset() {
-	g.catalog = &wire.Catalog{}
+	g.catalog, g.catalogBytes = &wire.Catalog{}, 0
 	g.queues = map[string]*wire.Queue{}
 	g.queuesByHost = map[string][]*wire.Queue{}
 	g.pools = map[string]*wire.WorkerPool{}
@@ -88,6 +89,9 @@
 // Catalog returns the current catalog; version 0 is the empty one. It must not be modified.
 func (g *Graph) Catalog() *wire.Catalog { return g.catalog }
 
+// CatalogBytes returns the size of the current catalog.
+func (g *Graph) CatalogBytes() int { return g.catalogBytes }
+
 // Queue returns the queue with a name, or nil.
 func (g *Graph) Queue(name string) *wire.Queue { return g.queues[name] }
 
--- a/internal/store/state/config.go
+++ b/internal/store/state/config.go
@@ -32,15 +32,25 @@
 		Version: current.Version + 1, Configuration: r.Configuration,
 		OperationId: r.OperationId, AppliedAt: c.At,
 	}
-	m.configurations = append(m.configurations, next)
-	if extra := len(m.configurations) - maxConfigurationHistory; extra > 0 {
-		m.configurations = append([]*wire.ConfigurationVersion(nil), m.configurations[extra:]...)
-	}
+	m.addConfiguration(next)
 	m.recordOperation(&wire.AppliedOperation{OperationId: r.OperationId, Version: next.Version, ContentHash: hash})
 	m.indexConfiguration()
 	return m.appliedResult(next)
 }
 
+// addConfiguration adds the latest version and removes the oldest ones beyond the limits.
+func (m *Machine) addConfiguration(v *wire.ConfigurationVersion) {
+	m.configurations = append(m.configurations, v)
+	m.historyBytes += proto.Size(v)
+	extra := 0
+	for ; extra < len(m.configurations)-1 && (len(m.configurations)-extra > maxConfigurationHistory || m.historyBytes > maxHistoryBytes); extra++ {
+		m.historyBytes -= proto.Size(m.configurations[extra])
+	}
+	if extra > 0 {
+		m.configurations = append([]*wire.ConfigurationVersion(nil), m.configurations[extra:]...)
+	}
+}
+
 func (m *Machine) appliedResult(v *wire.ConfigurationVersion) Result {
 	return Result{Apply: &wire.ApplyConfigurationResponse{
 		Outcome: wire.ApplyOutcome_APPLY_OUTCOME_APPLIED, Current: v,
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -20,8 +20,10 @@
 )
 
 const (
-	// maxConfigurationHistory is the number of configuration versions kept.
+	// maxConfigurationHistory and maxHistoryBytes limit the configuration versions kept, by number and
+	// by size. The current version is always kept.
 	maxConfigurationHistory = 200
+	maxHistoryBytes         = 4 << 20
 	// maxOperationHistory is the number of operation IDs kept to detect retries. At 3,700
 	// changes a day they cover more than two days of retries.
 	maxOperationHistory = 10000
@@ -61,6 +63,7 @@
 	Machine struct {
 		options        Options
 		configurations []*wire.ConfigurationVersion
+		historyBytes   int // of configurations
 		jobs           map[string]*wire.Job
 		jobIDByKey     map[string]string
 		workers        map[string]*Worker
@@ -88,7 +91,7 @@
 }
 
 func (m *Machine) reset() {
-	m.configurations, m.operations = nil, nil
+	m.configurations, m.historyBytes, m.operations = nil, 0, nil
 	m.jobs = map[string]*wire.Job{}
 	m.jobIDByKey = map[string]string{}
 	m.workers, m.sortedWorkers = map[string]*Worker{}, nil
@@ -119,6 +122,10 @@
 	return versions
 }
 
+// ConfigurationBytes returns the size of the configuration with its history and of the catalog. A new
+// version replaces others, unlike a job, which adds to the state.
+func (m *Machine) ConfigurationBytes() int { return m.historyBytes + m.graph.CatalogBytes() }
+
 // Graph returns the part of the state that manages jobs with steps.
 func (m *Machine) Graph() *graph.Graph { return m.graph }
 
@@ -258,7 +265,10 @@
 		return err
 	}
 	m.reset()
-	m.configurations, m.nextSequence, m.finishedCount = s.Configurations, s.NextSequence, s.Finished
+	m.nextSequence, m.finishedCount = s.NextSequence, s.Finished
+	for _, v := range s.Configurations {
+		m.addConfiguration(v)
+	}
 	for _, o := range s.Operations {
 		m.recordOperation(o)
 	}
