--- a/internal/store/walog/diskfull.go
+++ b/internal/store/walog/diskfull.go
@@ -26,6 +26,10 @@
 		// snapshotIndex is the index of the latest snapshot on disk.
 		snapshotIndex atomic.Uint64
 		aborted       atomic.Bool
+		// retrying is the number of writes that are being retried, interrupted whether the
+		// retries of log entries should end.
+		retrying    atomic.Int32
+		interrupted atomic.Bool
 	}
 
 	// permanentError is an error after which nothing may be retried, whatever its cause.
@@ -35,6 +39,9 @@
 	}
 )
 
+// ErrInterrupted is returned by Append after Interrupt. Nothing was written.
+var ErrInterrupted = errors.New("walog: interrupted while the disk is full")
+
 // Error returns the failed operation and its cause.
 func (e *permanentError) Error() string { return "walog: " + e.operation + ": " + e.err.Error() }
 
@@ -55,6 +62,14 @@
 // future, so that the process can stop.
 func (l *Log) AbortRetries() { l.diskFull.aborted.Store(true) }
 
+// Full reports whether a write is being retried because the disk is full. It may be called on any
+// goroutine.
+func (l *Log) Full() bool { return l.diskFull.retrying.Load() > 0 }
+
+// Interrupt ends an Append that is being retried, so that a vote can be written. It may be called
+// on any goroutine.
+func (l *Log) Interrupt() { l.diskFull.interrupted.Store(true) }
+
 // retryWhileFull calls write until it succeeds or fails for another reason than a full disk,
 // or until AbortRetries is called. On a full disk, write must leave nothing behind. Between
 // attempts it calls freeSpace, which may be nil; other processes may free space as well.
@@ -75,6 +90,8 @@
 			return err
 		case !retrying:
 			retrying = true
+			l.diskFull.retrying.Add(1)
+			defer l.diskFull.retrying.Add(-1)
 			diskFullTotal.Inc()
 			l.options.Logger.Warn("disk full, retrying write", "folder", l.folder, "write", operation, "error", err)
 		}
@@ -87,13 +104,30 @@
 	}
 }
 
-// compactToSnapshot frees the space of segments that the latest snapshot on disk covers.
-func (l *Log) compactToSnapshot() error { return l.Compact(l.diskFull.snapshotIndex.Load(), false) }
+// freeSpace makes room for entries of the given size: it removes the segments that the latest
+// snapshot on disk covers, the last one as well, or the reserve. It returns ErrInterrupted
+// after Interrupt.
+func (l *Log) freeSpace(size int) error {
+	if l.diskFull.interrupted.Swap(false) {
+		return ErrInterrupted
+	}
+	index := l.diskFull.snapshotIndex.Load()
+	if s := len(l.segments); s > 0 && l.segments[s-1].lastIndex() <= index {
+		return l.Compact(index, true)
+	}
+	if err := l.Compact(index, false); err != nil {
+		return err
+	}
+	if size <= logReserve {
+		l.releaseLogReserve()
+	}
+	return nil
+}
 
 // writeFrames appends the buffer to the last segment. If the disk is full, it truncates
 // what was written.
 func (l *Log) writeFrames() error {
-	_, err := l.options.Write(l.file, l.buffer)
+	_, err := l.write(l.file, l.buffer, int64(len(l.buffer)))
 	if !isDiskFull(err) {
 		return trace.ConvertSystemError(err)
 	}
@@ -114,22 +148,25 @@
 	return nil
 }
 
-// writeFile writes a file that replaces another one later. If the disk is full, it removes
-// the partial file.
-func (l *Log) writeFile(path string, data []byte) error {
-	file, err := l.open(path, os.O_WRONLY|os.O_CREATE|os.O_TRUNC)
+// writeSpare writes the content of a file that replaces another one later into the blocks of its
+// spare file, which stay allocated if the disk is full. The caller holds its lock.
+func (l *Log) writeSpare(s *spareFile, data []byte) error {
+	file, err := l.open(s.path, os.O_WRONLY|os.O_CREATE)
 	if err != nil {
 		return err
 	}
 	defer file.Close()
-	if _, err = l.options.Write(file, data); isDiskFull(err) {
-		if removeErr := os.Remove(path); removeErr != nil {
-			return &permanentError{"removing a partial file", removeErr}
+	if _, err = l.write(file, data, int64(len(data))-s.size.Load()); isDiskFull(err) {
+		if truncateErr := file.Truncate(s.size.Load()); truncateErr != nil {
+			return &permanentError{"truncating a partial file", truncateErr}
 		}
 		return err
 	}
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
+	if err := file.Truncate(int64(len(data))); err != nil {
+		return trace.ConvertSystemError(err)
+	}
 	return l.syncFile(file)
 }
--- a/internal/store/walog/walog.go
+++ b/internal/store/walog/walog.go
@@ -48,6 +48,12 @@
 		// SegmentSize is the size in bytes after which a new segment is started; 8 MiB when
 		// 0.
 		SegmentSize int64
+		// Limit is the size in bytes that the folder may have, with other files in it; 0 if only
+		// the disk limits it.
+		Limit int64
+		// FreeBytes returns the free space of the disk that holds a folder; that of the file
+		// system when nil.
+		FreeBytes func(folder string) (int64, error)
 		// Logger is slog.Default() when nil.
 		Logger *slog.Logger
 	}
@@ -69,7 +75,7 @@
 	}
 
 	// Log is an open folder. It isn't safe for concurrent use, except that WriteSnapshot
-	// and AbortRetries may be called concurrently with Append and SaveVote.
+	// and the methods that say so may be called concurrently with Append and SaveVote.
 	Log struct {
 		folder     string
 		options    Options
@@ -79,6 +85,7 @@
 		syncedSize int64    // size of file that is synced
 		buffer     []byte
 		diskFull   diskFullState
+		room       room
 	}
 )
 
@@ -94,6 +101,9 @@
 	if options.SegmentSize == 0 {
 		options.SegmentSize = segmentSize
 	}
+	if options.FreeBytes == nil {
+		options.FreeBytes = freeBytes
+	}
 	if options.Logger == nil {
 		options.Logger = slog.Default()
 	}
@@ -149,6 +159,7 @@
 	if err := checkContiguous(d); err != nil {
 		return nil, err
 	}
+	l.loadRoom()
 	return d, l.openLastSegment()
 }
 
@@ -256,3 +267,6 @@
 	}
 	return s.endOffsets[len(s.endOffsets)-1]
 }
+
+// lastIndex returns the index of the last entry.
+func (s *segment) lastIndex() uint64 { return s.firstIndex + uint64(len(s.endOffsets)) - 1 }
--- a/internal/store/walog/write.go
+++ b/internal/store/walog/write.go
@@ -25,33 +25,47 @@
 	if err := l.truncateFrom(entries[0].Index); err != nil {
 		return err
 	}
-	newSegment := func() error { return l.ensureSegment(entries[0].Index) }
-	if err := l.retryWhileFull("a new segment", newSegment, l.compactToSnapshot); err != nil {
-		return err
-	}
-	s := l.segments[len(l.segments)-1]
-	l.buffer = l.buffer[:0]
-	start := s.size()
-	var offsets []int64
+	var payloads [][]byte
+	size := 0
 	for _, r := range entries {
 		payload, err := proto.Marshal(r)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		l.buffer = appendFrame(l.buffer, payload, l.syncedSize)
-		offsets = append(offsets, start+int64(len(l.buffer)))
+		payloads = append(payloads, payload)
+		size += len(payload)
 	}
-	if err := l.retryWhileFull("records", l.writeFrames, l.compactToSnapshot); err != nil {
+	l.diskFull.interrupted.Store(false)
+	write := func() error { return l.appendFrames(entries[0].Index, payloads) }
+	if err := l.retryWhileFull("records", write, func() error { return l.freeSpace(size) }); err != nil {
 		return err
 	}
 	if err := l.syncFile(l.file); err != nil {
 		return err
 	}
-	s.endOffsets = append(s.endOffsets, offsets...)
+	s := l.segments[len(l.segments)-1]
+	offset := s.size()
+	for _, p := range payloads {
+		offset += int64(frameHeaderSize + len(p))
+		s.endOffsets = append(s.endOffsets, offset)
+	}
 	l.syncedSize = s.size()
+	l.countSegments()
 	return nil
 }
 
+// appendFrames writes entries to the last segment, or to a new one if that is large.
+func (l *Log) appendFrames(first uint64, payloads [][]byte) error {
+	if err := l.ensureSegment(first); err != nil {
+		return err
+	}
+	l.buffer = l.buffer[:0]
+	for _, p := range payloads {
+		l.buffer = appendFrame(l.buffer, p, l.syncedSize)
+	}
+	return l.writeFrames()
+}
+
 func (l *Log) ensureSegment(next uint64) error {
 	if l.file != nil {
 		s := l.segments[len(l.segments)-1]
@@ -74,6 +88,7 @@
 
 // truncateFrom removes the entries from index on.
 func (l *Log) truncateFrom(index uint64) error {
+	defer l.countSegments()
 	for len(l.segments) > 0 {
 		s := l.segments[len(l.segments)-1]
 		if s.firstIndex+uint64(len(s.endOffsets)) <= index {
@@ -117,15 +132,16 @@
 
 // SaveVote replaces the vote on disk.
 func (l *Log) SaveVote(v *wire.Vote) error {
-	return l.replaceMessage(voteName, v)
+	return l.replaceMessage(voteName, v, &l.room.voteSpare, voteReserve)
 }
 
 // WriteSnapshot replaces the snapshot on disk. The entries that it covers are kept until
 // Compact is called, so that a crash in between loses nothing.
 func (l *Log) WriteSnapshot(s *wire.Snapshot) error {
-	if err := l.replaceMessage(snapshotName, s); err != nil {
+	if err := l.replaceMessage(snapshotName, s, &l.room.snapshotNew, l.room.wanted.Load()); err != nil {
 		return err
 	}
+	l.room.snapshot.Store(fileSize(filepath.Join(l.folder, snapshotName)))
 	l.diskFull.snapshotIndex.Store(s.Index)
 	return nil
 }
@@ -134,6 +150,7 @@
 // one. If all is set, it removes every segment, as after a snapshot from another replica
 // that is ahead of all entries.
 func (l *Log) Compact(index uint64, all bool) error {
+	defer l.countSegments()
 	for len(l.segments) > 0 {
 		s := l.segments[0]
 		last := len(l.segments) == 1
@@ -154,21 +171,28 @@
 }
 
 // replaceMessage replaces a file atomically: after a crash it has either the old or the new
-// content.
-func (l *Log) replaceMessage(name string, m proto.Message) error {
+// content. The new content is written over the spare file, and then reserve bytes are allocated
+// for the next one, if there is room.
+func (l *Log) replaceMessage(name string, m proto.Message, spare *spareFile, reserve int64) error {
 	payload, err := proto.Marshal(m)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	path := filepath.Join(l.folder, name)
+	spare.mu.Lock()
+	defer spare.mu.Unlock()
 	frame := appendFrame(nil, payload, 0)
-	if err := l.retryWhileFull(name, func() error { return l.writeFile(path+".new", frame) }, nil); err != nil {
+	if err := l.retryWhileFull(name, func() error { return l.writeSpare(spare, frame) }, nil); err != nil {
 		return err
 	}
-	if err := os.Rename(path+".new", path); err != nil {
+	if err := os.Rename(spare.path, filepath.Join(l.folder, name)); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	return l.syncFolder()
+	spare.size.Store(0)
+	if err := l.syncFolder(); err != nil {
+		return err
+	}
+	l.extend(spare, max(reserve, int64(len(frame))))
+	return nil
 }
 
 func (l *Log) readMessage(name string, m proto.Message) (bool, error) {
