Replicas on full disks free their log, vote and refuse changes without room

Callers: a change for which the disks have no room waited until its caller's time was over, its outcome unknown; beside it no vote was written, so that full disks had no leader. A disk that hangs let changes of any size pile up in the leader's memory.

Cause: the write of entries was retried for good, and votes waited behind it; nothing looked at the room before it proposed a change; nothing counted the bytes that wait.

- A retried write of entries is interrupted for a vote; the entries and their acknowledgement come later.
- A leader on a full disk goes on if no other voter has room.

--- a/internal/cli/cmds/root.go
+++ b/internal/cli/cmds/root.go
@@ -21,6 +21,7 @@
 
 	"sycamoredeck.example/internal/base/admin"
 	"sycamoredeck.example/internal/base/setup"
+	"sycamoredeck.example/internal/front/uplink"
 	"sycamoredeck.example/internal/run/ctrl"
 	"sycamoredeck.example/internal/run/entry"
 	"sycamoredeck.example/internal/schema/wire"
@@ -103,6 +104,9 @@
 	case errors.As(err, &usage), errors.As(err, &setting):
 		return ExitUsage
 	}
+	if uplink.IsRefused(err) {
+		return ExitNotRun
+	}
 	switch status.Code(err) {
 	case codes.InvalidArgument:
 		return ExitUsage
--- a/internal/front/fence/fence.go
+++ b/internal/front/fence/fence.go
@@ -133,7 +133,9 @@
 		return wire.NewControlServiceClient(conn).OpenDispatch(ctx, q)
 	})
 	if err != nil {
-		f.closeAsync(p, true) // the record may have been committed
+		if !uplink.IsRefused(err) {
+			f.closeAsync(p, true) // the record may have been committed
+		}
 		return nil, nil, err
 	}
 	if !response.Granted {
--- a/internal/front/uplink/leader.go
+++ b/internal/front/uplink/leader.go
@@ -53,7 +53,8 @@
 // executed by a leader whose response is lost, and then again by the next one.
 //
 // The error has code Unavailable if the call was certainly not executed and Aborted if it
-// may have been executed. Other codes are the leader's response.
+// may have been executed. Other codes are the leader's response; a refusal for which IsRefused holds
+// was not executed.
 func CallLeader[Q, R any](ctx context.Context, u *Uplink, request Q, method Method[Q, R]) (R, error) {
 	return CallLeaderWith(ctx, u, &Call{}, request, method)
 }
@@ -63,6 +64,9 @@
 	c.startedAt = u.options.Clock.Now()
 	for {
 		response, err := callOnce(ctx, u, c, request, method)
+		if IsRefused(err) && c.Uncertain {
+			return response, OutcomeUnknown("refused after an attempt that was not answered")
+		}
 		if err == nil || !retriable(err) {
 			return response, err
 		}
--- a/internal/front/uplink/outage.go
+++ b/internal/front/uplink/outage.go
@@ -8,10 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
-	"google.golang.org/protobuf/types/known/durationpb"
 
 	"sycamoredeck.example/internal/base/link"
 	"sycamoredeck.example/internal/front/retry"
@@ -77,11 +74,7 @@
 	after := o.RetryAfter(left)
 	u.options.Logger.Info("request refused", "quorum", o.Quorum, "lasted_ms", o.Lasted.Milliseconds(), "refused_before", o.Refused,
 		"retry_after_s", after.Seconds(), "error", text)
-	s := status.New(codes.Unavailable, text)
-	if detailed, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(after)}); err == nil {
-		s = detailed
-	}
-	return s.Err()
+	return withRetryInfo(codes.Unavailable, text, after)
 }
 
 // probeMemory is how long a failed probe counts against a quorum. The entry itself may have been paused, so
--- a/internal/run/ctrl/peer.go
+++ b/internal/run/ctrl/peer.go
@@ -252,11 +252,15 @@
 }
 
 // statusError converts an error of the replica into a status. Unavailable means that the
-// command was not executed, Aborted that it may have been.
+// command was not executed, Aborted that it may have been. ResourceExhausted means that it was
+// refused, and tells when to repeat it.
 func statusError(err error) error {
+	var noRoom *node.NoRoomError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &noRoom):
+		return uplink.Refused(noRoom.Error(), noRoom.RetryAfter)
 	case errors.Is(err, node.ErrNotLeader), errors.Is(err, node.ErrStopped):
 		return status.Error(codes.Unavailable, notExecuted+err.Error())
 	case errors.Is(err, node.ErrUncertain):
--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -3,6 +3,7 @@
 package node
 
 import (
+	"errors"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/quorum"
 	"sycamoredeck.example/internal/store/state"
+	"sycamoredeck.example/internal/store/walog"
 )
 
 // maxReadyPerIteration limits the calls of processReady in one iteration, since its work may
@@ -32,6 +34,7 @@
 )
 
 func (n *Node) runIteration() {
+	n.updateRoom()
 	n.appendProposals()
 	n.startReadIndex()
 	for range maxReadyPerIteration {
@@ -95,18 +98,35 @@
 		n.applyEntry(r)
 	}
 	if n.persisting {
-		if n.options.BootTime()-n.persistStart < n.persistLimit() {
+		if n.options.BootTime()-n.persistStart < n.persistLimit() || n.log.Full() && !n.core.OthersHaveRoom() {
 			n.send(n.core.NextAppends())
 		}
 		return len(committed) > 0
 	}
-	rd := n.core.Ready()
+	ready := n.core.Ready
+	if n.interrupted && n.core.VotePending() {
+		ready = n.core.ReadyWithoutEntries
+	}
+	n.interrupted = false
+	rd := ready()
 	n.send(rd.Appends)
 	if rd.Vote == nil && rd.Snapshot == nil && len(rd.Entries) == 0 {
 		n.readyPersisted(rd)
 		return len(rd.Appends)+len(rd.Messages)+len(committed) > 0
 	}
-	n.persistAsync(func() error { return n.persistReady(rd) }, func() { n.readyPersisted(rd) })
+	interrupted := false
+	n.persistAsync(func() error {
+		err := n.persistReady(rd)
+		if interrupted = errors.Is(err, walog.ErrInterrupted); interrupted {
+			return nil
+		}
+		return err
+	}, func() {
+		if n.interrupted = interrupted; interrupted {
+			rd = n.core.AppendInterrupted(rd)
+		}
+		n.readyPersisted(rd)
+	})
 	return false
 }
 
@@ -184,6 +204,7 @@
 	}
 	began := time.Now()
 	err := n.log.Append(rd.Entries)
+	n.log.Reserve(n.reserve.Load())
 	syncSeconds.UpdateDuration(began)
 	syncsTotal.Inc()
 	return err
@@ -231,7 +252,7 @@
 		return
 	}
 	n.appliedIndex, n.appliedTerm = s.Index, s.Term
-	n.appliedBytes, n.snapshotBytes = 0, uint64(len(s.State))
+	n.countSnapshot(len(s.State))
 	n.options.Logger.Info("state restored from leader snapshot", "index", s.Index)
 }
 
@@ -241,7 +262,7 @@
 		result = n.machine.Apply(r.Command)
 	}
 	n.appliedIndex, n.appliedTerm = r.Index, r.Term
-	n.appliedBytes += uint64(proto.Size(r))
+	n.countApplied(r, proto.Size(r))
 	entriesAppliedTotal.Inc()
 	w, ok := n.waiters[r.Index]
 	if !ok {
@@ -397,7 +418,7 @@
 	if n.appliedIndex < first {
 		return false
 	}
-	return n.appliedIndex-first+1 >= n.options.SnapshotThreshold || n.appliedBytes >= max(n.options.SnapshotBytes, snapshotGrowth*n.snapshotBytes)
+	return n.appliedIndex-first+1 >= n.options.SnapshotThreshold || n.lacksRoom() || n.appliedBytes >= max(n.options.SnapshotBytes, snapshotGrowth*n.snapshotBytes)
 }
 
 // maybeSnapshot takes a snapshot if one is due. The state is serialized on the event loop and
@@ -416,7 +437,7 @@
 		Membership: proto.Clone(n.core.MembersAt(n.appliedIndex)).(*wire.Membership),
 	}
 	n.savingSnapshot = true
-	n.appliedBytes, n.snapshotBytes = 0, uint64(len(data))
+	n.countSnapshot(len(data))
 	n.writers.Go(func() {
 		n.snapshotMu.Lock()
 		err := n.log.WriteSnapshot(s)
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -184,10 +184,15 @@
 		// appliedBytes is the size of the entries applied since the last snapshot, and
 		// snapshotBytes the size of that.
 		appliedBytes, snapshotBytes uint64
+		room                        roomState
 		// compactIndex is the index up to which log segments are due for removal, or 0.
 		compactIndex uint64
-		writers      sync.WaitGroup
-		failed       bool
+		// interrupted is set after a write of entries ended for lack of room. reserve is the
+		// size to reserve for the next snapshot.
+		interrupted bool
+		reserve     atomic.Int64
+		writers     sync.WaitGroup
+		failed      bool
 	}
 )
 
@@ -209,7 +214,9 @@
 			return nil, trace.Wrap(err, "snapshot at %d", s.Index)
 		}
 	}
-	n.appliedIndex, n.snapshotBytes = durable.Snapshot.GetIndex(), uint64(len(durable.Snapshot.GetState()))
+	n.appliedIndex = durable.Snapshot.GetIndex()
+	n.countSnapshot(len(durable.Snapshot.GetState()))
+	n.room.refreshedAt = n.startedAt
 	n.core = quorum.New(quorum.Options{
 		ID:             options.ID,
 		HeartbeatTicks: ticksPerHeartbeat,
@@ -300,7 +307,8 @@
 }
 
 // Propose appends a command to the replicated log. It must be called on the event loop,
-// where done is called later with the result of applying the command.
+// where done is called later with the result of applying the command. A caller's change for which
+// there is no room fails at once with a NoRoomError.
 func (n *Node) Propose(command *wire.Command, done func(state.Result, error)) {
 	if n.role != quorum.Leader {
 		done(state.Result{}, ErrNotLeader)
@@ -309,7 +317,15 @@
 	if command.At == nil {
 		command.At = timestamppb.New(n.options.Clock.Now())
 	}
-	n.proposals = append(n.proposals, proposal{command, done})
+	release, err := n.admit(command)
+	if err != nil {
+		done(state.Result{}, err)
+		return
+	}
+	n.proposals = append(n.proposals, proposal{command, func(r state.Result, err error) {
+		release()
+		done(r, err)
+	}})
 }
 
 // Commit proposes a command and waits until it is applied. It must not be called on the
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -73,8 +73,10 @@
 
 	// progress is the leader's view of another replica.
 	progress struct {
-		match, next        uint64
-		ackedRound         uint64
+		match, next uint64
+		ackedRound  uint64
+		// room is the latest Room of its answers, as in PeerMessage.
+		room               uint64
 		recentActive       bool
 		ticksSinceResponse int
 		// probing is set by a rejection, or with a snapshot, until the replica accepts a
@@ -141,6 +143,7 @@
 		// without waiting for a sync.
 		answeredTerm, answeredRound uint64
 
+		room              uint64         // as in PeerMessage
 		pendingSnapshot   *wire.Snapshot // received and not yet returned by Ready
 		nextToPersist     uint64         // the first entry not yet returned by Ready
 		appends, messages []*wire.PeerMessage
--- a/internal/store/quorum/replication.go
+++ b/internal/store/quorum/replication.go
@@ -112,7 +112,7 @@
 func (c *Core) handleAppend(m *wire.PeerMessage) {
 	resp := &wire.PeerMessage{
 		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER,
-		To:   m.From, Term: c.term, Round: m.Round, AskedIndex: m.Index,
+		To:   m.From, Term: c.term, Round: m.Round, AskedIndex: m.Index, Room: c.room,
 	}
 	defer c.send(resp)
 	if m.Index < c.snapshot.Index {
@@ -141,7 +141,7 @@
 	}
 	c.answeredTerm, c.answeredRound = m.Term, m.Round
 	c.sendPrompt(&wire.PeerMessage{
-		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_ROUND_ANSWER, To: m.From, Term: c.term, Round: m.Round,
+		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_ROUND_ANSWER, To: m.From, Term: c.term, Round: m.Round, Room: c.room,
 	})
 }
 
@@ -149,7 +149,7 @@
 // has to be replaced.
 func (c *Core) handleRoundAnswer(m *wire.PeerMessage) {
 	if p := c.peers[m.From]; c.role == Leader && p != nil {
-		p.recentActive = true
+		p.recentActive, p.room = true, m.Room
 		p.ackedRound = max(p.ackedRound, m.Round)
 	}
 }
@@ -176,7 +176,7 @@
 	s := m.Snapshot
 	resp := &wire.PeerMessage{
 		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER,
-		To:   m.From, Term: c.term, Round: m.Round, Index: c.commitIndex,
+		To:   m.From, Term: c.term, Round: m.Round, Index: c.commitIndex, Room: c.room,
 	}
 	defer c.send(resp)
 	if s.GetIndex() <= c.commitIndex {
@@ -310,7 +310,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.recentActive, p.ticksSinceResponse = true, 0
+	p.recentActive, p.ticksSinceResponse, p.room = true, 0, m.Room
 	p.ackedRound = max(p.ackedRound, m.Round)
 	if m.Reject {
 		c.handleAppendReject(m, p)
