--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -134,7 +134,7 @@
 }
 
 func (c *Control) start(ctx context.Context, reloads <-chan *wire.ControlSettings) error {
-	log, durable, err := walog.Open(c.settings.DataFolder, walog.Options{Logger: c.logger})
+	log, durable, err := walog.Open(c.settings.DataFolder, walog.Options{Limit: int64(c.settings.DataLimitMb) << 20, Logger: c.logger})
 	if err != nil {
 		return err
 	}
