A failed end of an ended gang job doesn't end the replicas

Callers saw: no job of the deployment is answered any more, accepted ones lapse.

Cause: recordFailure released the run before it counted the failure. When it was the last run of an ended job, the release compacted the job, and the next line read Stage.Tasks[0]. The record is in the log, so each replica that applies it ends. The class: a command that compacts the state while it still reads it.

Evidence: the panics name recordFailure in all processes of the case.

Change: jobs are compacted at the end of a command, in one place. The end of a run first records facts, then releases the run, then ends the job. A replica refuses an image with tasks or agents that aren't there, where it panicked.

Weighed: a command that panics still ends the process. To skip it is the same on all replicas only if nothing was changed before, which nobody knows then. The message of the panic now names the record and its type. A switch to skip a record would have to be set on all replicas alike, and one that was missed diverges silently, so there is none.

With it, for the changes that follow: the state has a version of its rules. Replicas tell in their answers which they know, and the leader raises it once all members have. Until then a replica applies records as earlier programs do, so both agree. New() knows the latest rules; a control process starts unversioned.

--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -225,7 +225,7 @@
 // startNode starts the replica, the planner and the scheduling engine.
 func (c *Control) startNode(durable *walog.DurableState) error {
 	c.machine = state.New(state.Options{
-		Retention: c.settings.RecordRetention.AsDuration(),
+		Retention: c.settings.RecordRetention.AsDuration(), Unversioned: true,
 		OnJobChange: func(j *wire.Job) {
 			c.planner.MarkChanged()
 			c.watchers.notify(j)
--- a/internal/sched/drive/reserve_test.go
+++ b/internal/sched/drive/reserve_test.go
@@ -60,7 +60,7 @@
 	assert.Assert(t, weight > 0, "no estimate was saved")
 	image := s.graph.Save()
 	restored := graph.New()
-	restored.Load(image)
+	assert.NilError(t, restored.Load(image))
 	assert.Equal(t, weightOf(restored), weight, "the estimate isn't in the snapshot")
 }
 
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -33,6 +33,7 @@
 
 // Apply applies one committed command. At is the time recorded with the command.
 func (g *Graph) Apply(at time.Time, c *wire.WorkCommand) Result {
+	defer g.compactEndedJobs()
 	switch body := c.GetBody().(type) {
 	case *wire.WorkCommand_PutCatalog:
 		return g.putCatalog(body.PutCatalog)
@@ -64,6 +65,9 @@
 	case *wire.WorkCommand_CrashReports:
 		g.setCrashReports(body.CrashReports.Agents)
 		return Result{}
+	case *wire.WorkCommand_StateVersion:
+		g.raiseVersion(body.StateVersion)
+		return Result{}
 	case *wire.WorkCommand_Forget:
 		g.removeExpired(body.Forget.EndedBefore.AsTime())
 		return Result{}
@@ -191,7 +195,7 @@
 	if g.OnJobFinished != nil {
 		g.OnJobFinished(j)
 	}
-	j.compact()
+	g.compactLater(j)
 	g.notifyChange()
 }
 
--- a/internal/store/graph/compact.go
+++ b/internal/store/graph/compact.go
@@ -4,6 +4,20 @@
 
 import "sycamoredeck.example/internal/schema/wire"
 
+// compactLater makes a job compact at the end of the current command, which may still read its tasks.
+func (g *Graph) compactLater(j *Job) {
+	if j.Ended() && !j.mayHaveRuns() {
+		g.uncompacted = append(g.uncompacted, j)
+	}
+}
+
+func (g *Graph) compactEndedJobs() {
+	for _, j := range g.uncompacted {
+		j.compact()
+	}
+	g.uncompacted = nil
+}
+
 // compact replaces the tasks of an ended job without runs by summaries. Clients can query
 // a job for minutes after its end, and at thousands of tasks per second the full tasks
 // would dominate the memory of every replica and each snapshot.
@@ -28,7 +42,7 @@
 		Crashes: make([]uint32, len(s.Tasks)),
 	}
 	for i, t := range s.Tasks {
-		summary.Runs[i], summary.Failures[i], summary.Done[i], summary.Crashes[i] = t.Run, t.Failures, t.Done, t.Crashes
+		summary.Runs[i], summary.Failures[i], summary.Done[i], summary.Crashes[i] = t.Run, t.savedFailures(), t.Done, t.Crashes
 	}
 	return summary
 }
--- a/internal/store/graph/crash_report_test.go
+++ b/internal/store/graph/crash_report_test.go
@@ -38,7 +38,7 @@
 				g.Apply(noon, command)
 			}
 			loaded := New()
-			loaded.Load(g.Save())
+			assert.NilError(t, loaded.Load(g.Save()))
 			assert.Assert(t, proto.Equal(loaded.Save(), g.Save()), "the snapshot is incomplete")
 			agent := loaded.Agent("a1")
 			assert.Equal(t, agent != nil && agent.ReportedCrash(id) != nil, c.reported)
--- a/internal/store/graph/crash_test.go
+++ b/internal/store/graph/crash_test.go
@@ -56,7 +56,7 @@
 				g.Apply(noon, end)
 				g.Apply(noon, end) // a repeated report counts once
 				loaded := New()
-				loaded.Load(g.Save())
+				assert.NilError(t, loaded.Load(g.Save()))
 				assert.Assert(t, proto.Equal(loaded.Save(), g.Save()), "the snapshot is incomplete")
 				g = loaded
 			}
--- a/internal/store/graph/drain_test.go
+++ b/internal/store/graph/drain_test.go
@@ -62,14 +62,14 @@
 	g := newTestGraphWithDomains(t)
 	g.Apply(noon, drainCommand("east", false))
 	loaded := New()
-	loaded.Load(g.Save())
+	assert.NilError(t, loaded.Load(g.Save()))
 	assert.Assert(t, loaded.Drained("east") && !loaded.Drained("west"))
 	assert.Assert(t, proto.Equal(loaded.Save(), g.Save()))
 	t.Run("snapshot of an earlier version", func(t *testing.T) {
 		image := g.Save()
 		image.DrainedDomains, image.DrainRevision = nil, 0
 		old := New()
-		old.Load(image)
+		assert.NilError(t, old.Load(image))
 		assert.Assert(t, !old.Drained("east"))
 		assert.NilError(t, old.Apply(noon, drainCommand("east", false)).Err)
 	})
--- a/internal/store/graph/early_cancel_test.go
+++ b/internal/store/graph/early_cancel_test.go
@@ -46,7 +46,7 @@
 		assert.NilError(t, err)
 		image, g := &wire.WorkImage{}, New()
 		assert.NilError(t, proto.Unmarshal(data, image))
-		g.Load(image)
+		assert.NilError(t, g.Load(image))
 		submit(t, g, noon)
 		assertState(t, g, wire.WorkState_WORK_STATE_CANCELLED, 0)
 	})
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -41,11 +41,14 @@
 		agentsByName  map[string][]*Agent  // by the agents' own ids
 		removedAgents map[string]time.Time // when each was removed
 		readyStages   map[*Stage]bool
+		uncompacted   []*Job         // jobs to compact at the end of the current command
 		pendingJobs   map[string]int // accepted jobs without a placed task, by queue
 		sequence      uint64
 		estimates     *wire.Learned
 		drains        drainState
-		earlyCancels  earlyCancellations
+		// stateVersion is the version of the rules; initialVersion is that of a state without one.
+		stateVersion, initialVersion uint32
+		earlyCancels                 earlyCancellations
 		// OnChange, if set, is called after each command that may have changed which
 		// tasks are ready or where they can be placed.
 		OnChange func()
@@ -65,7 +68,7 @@
 
 // New returns an empty state.
 func New() *Graph {
-	g := &Graph{BootClock: boot.Now}
+	g := &Graph{BootClock: boot.Now, initialVersion: Version}
 	g.reset()
 	return g
 }
@@ -81,6 +84,7 @@
 	g.readyStages = map[*Stage]bool{}
 	g.pendingJobs = map[string]int{}
 	g.sequence = 0
+	g.stateVersion = g.initialVersion
 	g.estimates = nil
 	g.drains = drainState{since: map[string]time.Time{}}
 	g.earlyCancels = earlyCancellations{}
--- a/internal/store/graph/graph_test.go
+++ b/internal/store/graph/graph_test.go
@@ -111,7 +111,7 @@
 	})
 	t.Run("loaded", func(t *testing.T) {
 		loaded := New()
-		loaded.Load(g.Save())
+		assert.NilError(t, loaded.Load(g.Save()))
 		assert.Assert(t, proto.Equal(loaded.Job(jobID).Record(), g.Job(jobID).Record()))
 		assert.Assert(t, proto.Equal(loaded.Save(), g.Save()))
 	})
@@ -323,7 +323,7 @@
 				assert.NilError(t, err)
 				image := &wire.WorkImage{}
 				assert.NilError(t, proto.Unmarshal(data, image))
-				reloaded.Load(image)
+				assert.NilError(t, reloaded.Load(image))
 			}
 			assert.Assert(t, proto.Equal(direct.Save(), reloaded.Save()), "seed %d, step %d", n, i)
 			assert.Equal(t, len(direct.SortedReadyStages()), len(reloaded.SortedReadyStages()), "seed %d, step %d", n, i)
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -3,6 +3,7 @@
 package graph
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -14,7 +15,7 @@
 // Save returns the state for a snapshot. It shares records with the state and
 // must be serialized before the next Apply.
 func (g *Graph) Save() *wire.WorkImage {
-	image := &wire.WorkImage{Catalog: g.catalog, NextSequence: g.sequence, Learned: g.estimates, Dropped: map[string]*timestamppb.Timestamp{}}
+	image := &wire.WorkImage{Catalog: g.catalog, NextSequence: g.sequence, Learned: g.estimates, Dropped: map[string]*timestamppb.Timestamp{}, StateVersion: g.stateVersion}
 	for _, j := range g.Jobs() {
 		image.Jobs = append(image.Jobs, saveJob(j))
 	}
@@ -67,9 +68,18 @@
 	return saved
 }
 
+// savedFailures returns the failures that are saved with the task. Those of a gang are saved with its
+// first member, as earlier programs do.
+func (t *Task) savedFailures() uint32 {
+	if t.Index == 0 {
+		return t.attemptFailures()
+	}
+	return t.Failures
+}
+
 func saveTask(t *Task) *wire.WorkTask {
 	saved := &wire.WorkTask{
-		Occurrence: t.Stage.Occurrence, Step: t.Stage.Index, Index: t.Index, Run: t.Run, Failures: t.Failures,
+		Occurrence: t.Stage.Occurrence, Step: t.Stage.Index, Index: t.Index, Run: t.Run, Failures: t.savedFailures(),
 		Done: t.Done, Checkpoint: t.Checkpoint, Agent: t.Agent,
 		Crashes: t.Crashes, StartCrashes: t.StartCrashes, PresumedCrashes: t.PresumedCrashes,
 	}
@@ -80,11 +90,15 @@
 }
 
 // Load replaces the state by a saved one; nil is the empty state.
-func (g *Graph) Load(image *wire.WorkImage) {
+func (g *Graph) Load(image *wire.WorkImage) error {
 	g.reset()
 	if image == nil {
-		return
+		return nil
+	}
+	if image.StateVersion > Version {
+		return ErrLaterVersion
 	}
+	g.stateVersion = max(g.stateVersion, image.StateVersion)
 	if image.Catalog != nil {
 		g.setCatalog(image.Catalog)
 	}
@@ -101,12 +115,15 @@
 		g.removedAgents[id] = at.AsTime()
 	}
 	for _, s := range image.Jobs {
-		g.loadJob(s)
+		if err := g.loadJob(s); err != nil {
+			return err
+		}
 	}
 	g.notifyChange()
+	return nil
 }
 
-func (g *Graph) loadJob(saved *wire.WorkJob) {
+func (g *Graph) loadJob(saved *wire.WorkJob) error {
 	j := &Job{
 		ID: saved.Id, Queue: saved.Queue, Pool: saved.Pool, Spec: saved.Spec, State: saved.State,
 		AcceptedAt: saved.AcceptedAt.AsTime(), Sequence: saved.Sequence,
@@ -119,11 +136,15 @@
 	g.jobs[j.ID] = j
 	for _, s := range saved.EndedStages {
 		for _, t := range tasksFromSummary(s) {
-			g.loadTask(j, t)
+			if err := g.loadTask(j, t); err != nil {
+				return err
+			}
 		}
 	}
 	for _, t := range saved.Tasks {
-		g.loadTask(j, t)
+		if err := g.loadTask(j, t); err != nil {
+			return err
+		}
 	}
 	for _, ss := range j.Occurrences {
 		for _, s := range ss {
@@ -137,19 +158,32 @@
 	}
 	g.addJob(j)
 	j.compact()
+	return nil
 }
 
-func (g *Graph) loadTask(j *Job, saved *wire.WorkTask) {
-	s := j.Occurrences[saved.Occurrence][saved.Step]
-	t := s.Tasks[saved.Index]
-	t.Run, t.Failures, t.Done, t.Checkpoint = saved.Run, saved.Failures, saved.Done, saved.Checkpoint
+func (g *Graph) loadTask(j *Job, saved *wire.WorkTask) error {
+	id := &wire.RunId{Job: j.ID, Occurrence: saved.Occurrence, Step: saved.Step, Index: saved.Index}
+	t, agent := g.FindTask(id), g.agents[saved.Agent]
+	switch {
+	case t == nil:
+		return fmt.Errorf("%w: %v is saved, which its job doesn't have", ErrInvalid, id)
+	case saved.Agent != "" && agent == nil:
+		return fmt.Errorf("%w: %v is saved as running on agent %q, which isn't registered", ErrInvalid, id, saved.Agent)
+	}
+	s := t.Stage
+	t.Run, t.Done, t.Checkpoint = saved.Run, saved.Done, saved.Checkpoint
+	if s.Step.Gang {
+		s.failures += saved.Failures
+	} else {
+		t.Failures = saved.Failures
+	}
 	t.Crashes, t.StartCrashes, t.PresumedCrashes = saved.Crashes, saved.StartCrashes, saved.PresumedCrashes
 	if saved.PlacedAt != nil {
 		t.PlacedAt = saved.PlacedAt.AsTime().UnixMilli()
 	}
 	if saved.Agent != "" {
 		t.Agent = saved.Agent
-		g.agents[saved.Agent].Tasks[t] = true
+		agent.Tasks[t] = true
 		j.activeRuns++
 	}
 	if t.Done {
@@ -158,6 +192,7 @@
 	if t.Done || t.Agent != "" {
 		s.Unplaced--
 	}
+	return nil
 }
 
 // HasRemovableJobs reports whether a job ended before the given time and has no run that
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -31,8 +31,8 @@
 		Occurrence uint32
 		Index      uint32
 		Step       *wire.Step
-		// Tasks is nil once the job has ended and has no run that may exist; summary then
-		// has the tasks' outcomes.
+		// Tasks is nil after the command by which the job has ended and has no run that may
+		// exist; summary then has the tasks' outcomes.
 		Tasks []*Task
 		// Due is the earliest start; zero means immediately.
 		Due time.Time
@@ -43,6 +43,7 @@
 		openDependencies int // earlier stages it waits for
 		dependents       []*Stage
 		doneTasks        int
+		failures         uint32 // failed attempts of a gang
 		summary          *wire.EndedStage
 		// Unplaced is the number of tasks that neither run nor have ended.
 		Unplaced int
@@ -174,6 +175,7 @@
 	var sum uint32
 	for _, ss := range j.Occurrences {
 		for _, s := range ss {
+			sum += s.failures
 			for _, t := range s.Tasks {
 				sum += t.Failures
 			}
--- a/internal/store/graph/lease_expiry_test.go
+++ b/internal/store/graph/lease_expiry_test.go
@@ -34,7 +34,7 @@
 		now += 3 * time.Second
 		loaded := New()
 		loaded.BootClock = boot
-		loaded.Load(image)
+		assert.NilError(t, loaded.Load(image))
 		assert.Assert(t, !loaded.Agent("a1").LeaseExpiry.Expired(now+4999*time.Millisecond))
 		assert.Assert(t, loaded.Agent("a1").LeaseExpiry.Expired(now+5*time.Second))
 	})
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -80,7 +80,7 @@
 		t.Stage.Unplaced++
 	}
 	g.updateReady(t.Stage)
-	t.Stage.Job.compact()
+	g.compactLater(t.Stage.Job)
 }
 
 // endRun records the outcome of a run. An outcome of a run that isn't the task's latest one
@@ -90,23 +90,27 @@
 	if t == nil || t.Run != e.Id.Run || t.Agent != e.Agent || t.Agent == "" {
 		return
 	}
-	defer g.notifyChange()
 	if e.Checkpoint != "" {
 		g.saveCheckpoint(t, e.Checkpoint)
 	}
-	switch {
-	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_DONE && !t.Stage.Standing():
-		g.completeTask(at, t)
-	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED && !t.Stage.Standing():
-		g.recordFailure(at, t)
-	case e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED, e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START:
-		g.recordCrash(at, t, e)
+	exhausted := false
+	switch e.Outcome {
+	case wire.RunOutcome_RUN_OUTCOME_DONE:
+		g.completeTask(t)
+	case wire.RunOutcome_RUN_OUTCOME_FAILED:
+		exhausted = g.recordFailure(t)
+	case wire.RunOutcome_RUN_OUTCOME_CRASHED, wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START:
+		exhausted = recordCrash(t, e)
 	default:
-		if e.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
-			t.LastFailedOn = t.Agent
-		}
-		g.releaseRun(t)
 	}
+	g.releaseRun(t)
+	switch j := t.Stage.Job; {
+	case j.openStages == 0:
+		g.finishJob(at, j, wire.WorkState_WORK_STATE_COMPLETED)
+	case exhausted:
+		g.finishJob(at, j, wire.WorkState_WORK_STATE_FAILED)
+	}
+	g.notifyChange()
 }
 
 // saveCheckpoint sets the checkpoint from which the next run resumes. All members of a gang
@@ -123,7 +127,10 @@
 
 // completeTask completes a task, or all tasks of its gang, since the members end together.
 // The runs of the other members keep their resources until their own ends are recorded.
-func (g *Graph) completeTask(at time.Time, t *Task) {
+func (g *Graph) completeTask(t *Task) {
+	if t.Stage.Standing() {
+		return
+	}
 	finished := []*Task{t}
 	if t.Stage.Step.Gang {
 		finished = t.Stage.Tasks
@@ -139,48 +146,45 @@
 		f.Stage.doneTasks++
 		g.notifyAgentChange(f.Agent)
 	}
-	g.releaseRun(t)
 	if t.Stage.doneTasks == len(t.Stage.Tasks) {
-		g.completeStage(at, t.Stage)
+		g.completeStage(t.Stage)
 	}
 }
 
-func (g *Graph) completeStage(at time.Time, s *Stage) {
+func (g *Graph) completeStage(s *Stage) {
 	g.updateReady(s)
-	j := s.Job
-	j.openStages--
+	s.Job.openStages--
 	for _, d := range s.dependents {
 		d.openDependencies--
 		g.updateReady(d)
 	}
-	if j.openStages == 0 {
-		g.finishJob(at, j, wire.WorkState_WORK_STATE_COMPLETED)
-	}
 }
 
-// recordFailure counts a failed attempt of the task or of its gang.
-func (g *Graph) recordFailure(at time.Time, t *Task) {
+// recordFailure counts a failed attempt of the task or of its gang, and reports whether it was the
+// last one that is allowed.
+func (g *Graph) recordFailure(t *Task) (exhausted bool) {
 	t.LastFailedOn = t.Agent
-	g.releaseRun(t)
-	failures := uint32(0)
-	if t.Stage.Step.Gang {
-		t.Stage.Tasks[0].Failures++
-		failures = t.Stage.Tasks[0].Failures
+	s := t.Stage
+	if s.Standing() {
+		return false
+	}
+	if s.Step.Gang {
+		s.failures++
 	} else {
 		t.Failures++
-		failures = t.Failures
-	}
-	if failures >= g.maxAttempts(t.Stage.Job) {
-		g.finishJob(at, t.Stage.Job, wire.WorkState_WORK_STATE_FAILED)
 	}
+	return t.attemptFailures() >= g.maxAttempts(s.Job)
 }
 
-// recordCrash counts a crash of a task's agent, for standing tasks as well. A crashed agent
-// reports no ends, so a task that crashes its agents would otherwise be restarted forever.
-func (g *Graph) recordCrash(at time.Time, t *Task, e *wire.RunEnd) {
-	g.releaseRun(t)
+// attemptFailures returns the number of failed attempts of the task or of its gang.
+func (t *Task) attemptFailures() uint32 { return t.Failures + t.Stage.failures }
+
+// recordCrash counts a crash of a task's agent, for standing tasks as well, and reports whether the
+// task's job fails by it. A crashed agent reports no ends, so a task that crashes its agents would
+// otherwise be restarted forever.
+func recordCrash(t *Task, e *wire.RunEnd) (exhausted bool) {
 	if t.Done {
-		return
+		return false
 	}
 	t.Crashes++
 	if e.Outcome == wire.RunOutcome_RUN_OUTCOME_CRASHED_AT_START {
@@ -189,9 +193,7 @@
 	if e.Presumed {
 		t.PresumedCrashes++
 	}
-	if crashLimitReached(t.Crashes, t.StartCrashes, t.PresumedCrashes) {
-		g.finishJob(at, t.Stage.Job, wire.WorkState_WORK_STATE_FAILED)
-	}
+	return crashLimitReached(t.Crashes, t.StartCrashes, t.PresumedCrashes)
 }
 
 // AttemptsLeft returns how many more runs of a task, or of its gang, may fail before its job
@@ -200,11 +202,8 @@
 	if t.Stage.Standing() {
 		return 0, false
 	}
-	if t.Stage.Step.Gang {
-		t = t.Stage.Tasks[0]
-	}
 	limit := g.maxAttempts(t.Stage.Job)
-	return limit - min(t.Failures, limit), true
+	return limit - min(t.attemptFailures(), limit), true
 }
 
 func (g *Graph) maxAttempts(j *Job) uint32 {
--- a/internal/store/node/iteration.go
+++ b/internal/store/node/iteration.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"time"
 
@@ -46,6 +47,7 @@
 	n.updateRole()
 	n.recordRestart()
 	n.recordOutages()
+	n.proposeStateVersion()
 	n.completeReads()
 	n.completeAppliedReads()
 	n.maybeSnapshot()
@@ -259,7 +261,7 @@
 func (n *Node) applyEntry(r *wire.LogRecord) {
 	var result state.Result
 	if r.Command != nil {
-		result = n.machine.Apply(r.Command)
+		result = n.applyCommand(r)
 	}
 	n.appliedIndex, n.appliedTerm = r.Index, r.Term
 	n.countApplied(r, proto.Size(r))
@@ -276,6 +278,25 @@
 	w.done(result, nil)
 }
 
+// applyCommand applies the command of a record. A panic ends the process, since it isn't known what was
+// changed before, and names the record: the process would end there again at each start.
+func (n *Node) applyCommand(r *wire.LogRecord) state.Result {
+	defer func() {
+		if cause := recover(); cause != nil {
+			panic(fmt.Sprintf("applying record %d of term %d, %s: %v", r.Index, r.Term, describeCommand(r.Command), cause))
+		}
+	}()
+	return n.machine.Apply(r.Command)
+}
+
+// describeCommand returns the type of a command, without its content.
+func describeCommand(c *wire.Command) string {
+	if work := c.GetWork(); work != nil {
+		return fmt.Sprintf("%T", work.Body)
+	}
+	return fmt.Sprintf("%T", c.GetBody())
+}
+
 // startReadIndex assigns new reads to a heartbeat round and the current commit index.
 func (n *Node) startReadIndex() {
 	if len(n.newReads) == 0 {
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -25,6 +25,7 @@
 
 	"sycamoredeck.example/internal/base/boot"
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
 	"sycamoredeck.example/internal/store/quorum"
 	"sycamoredeck.example/internal/store/state"
 	"sycamoredeck.example/internal/store/walog"
@@ -193,6 +194,8 @@
 		reserve     atomic.Int64
 		writers     sync.WaitGroup
 		failed      bool
+		// proposedVersion is the latest StateVersion that this replica has proposed.
+		proposedVersion uint32
 	}
 )
 
@@ -221,7 +224,7 @@
 		ID:             options.ID,
 		HeartbeatTicks: ticksPerHeartbeat,
 		ElectionTicks:  int(ticksPerHeartbeat * options.ElectionTimeout / options.HeartbeatInterval),
-		Random:         rand.IntN, RestartElection: options.RestartElection,
+		Random:         rand.IntN, RestartElection: options.RestartElection, StateVersion: graph.Version,
 	}, quorum.DurableState{Vote: durable.Vote, Snapshot: durable.Snapshot, Entries: durable.Entries})
 	return n, nil
 }
--- a/internal/store/quorum/core.go
+++ b/internal/store/quorum/core.go
@@ -48,6 +48,8 @@
 		// RestartElection lets a replica stand for election without waiting for an election
 		// timeout if all voters have restarted.
 		RestartElection bool
+		// StateVersion is the highest version of the state's rules that this replica knows.
+		StateVersion uint32
 	}
 
 	// DurableState is what a replica has on disk when it starts.
@@ -76,7 +78,9 @@
 		match, next uint64
 		ackedRound  uint64
 		// room is the latest Room of its answers, as in PeerMessage.
-		room               uint64
+		room uint64
+		// stateVersion is the StateVersion of its answers in this term, as in PeerMessage.
+		stateVersion       uint32
 		recentActive       bool
 		ticksSinceResponse int
 		// probing is set by a rejection, or with a snapshot, until the replica accepts a
--- a/internal/store/quorum/replication.go
+++ b/internal/store/quorum/replication.go
@@ -112,7 +112,7 @@
 func (c *Core) handleAppend(m *wire.PeerMessage) {
 	resp := &wire.PeerMessage{
 		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER,
-		To:   m.From, Term: c.term, Round: m.Round, AskedIndex: m.Index, Room: c.room,
+		To:   m.From, Term: c.term, Round: m.Round, AskedIndex: m.Index, Room: c.room, StateVersion: c.options.StateVersion,
 	}
 	defer c.send(resp)
 	if m.Index < c.snapshot.Index {
@@ -176,7 +176,7 @@
 	s := m.Snapshot
 	resp := &wire.PeerMessage{
 		Kind: wire.PeerMessageKind_PEER_MESSAGE_KIND_APPEND_ANSWER,
-		To:   m.From, Term: c.term, Round: m.Round, Index: c.commitIndex, Room: c.room,
+		To:   m.From, Term: c.term, Round: m.Round, Index: c.commitIndex, Room: c.room, StateVersion: c.options.StateVersion,
 	}
 	defer c.send(resp)
 	if s.GetIndex() <= c.commitIndex {
@@ -310,7 +310,7 @@
 	if c.role != Leader || p == nil {
 		return
 	}
-	p.recentActive, p.ticksSinceResponse, p.room = true, 0, m.Room
+	p.recentActive, p.ticksSinceResponse, p.room, p.stateVersion = true, 0, m.Room, m.StateVersion
 	p.ackedRound = max(p.ackedRound, m.Round)
 	if m.Reject {
 		c.handleAppendReject(m, p)
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -55,6 +55,9 @@
 	Options struct {
 		// Retention is how long a job is kept after its end.
 		Retention time.Duration
+		// Unversioned makes the state follow the rules of earlier programs until a snapshot or a
+		// command says that all replicas know later ones.
+		Unversioned bool
 		// OnJobChange is called after each change of a job, which it must not modify.
 		OnJobChange func(*wire.Job)
 	}
@@ -86,6 +89,9 @@
 // New returns an empty state machine.
 func New(options Options) *Machine {
 	m := &Machine{options: options, graph: graph.New()}
+	if options.Unversioned {
+		m.graph.AssumeUnversioned()
+	}
 	m.reset()
 	return m
 }
@@ -272,7 +278,9 @@
 	for _, o := range s.Operations {
 		m.recordOperation(o)
 	}
-	m.graph.Load(s.Work)
+	if err := m.graph.Load(s.Work); err != nil {
+		return err
+	}
 	m.indexConfiguration()
 	for id, r := range s.Quarantines {
 		m.quarantines[id] = r
