A gang completes its step once, and each of its runs fails once

With steps after a gang no disruption is needed, and with two after one another the job hangs.

Cause: completeTask called completeStage whenever all tasks were done, not when they became so. Each further member that ended as done counted the stages of the job down once more, and the dependencies of later steps. The class: a count that is changed by events beside the facts that it follows from. Two members that failed in one run counted as two attempts of their gang, as did a failed end after another member had ended as done.

Whether a job has started is its state. Members still at work when one ends as done are stopped, and what they list then changes nothing (a case for each end).

Records are applied by the earlier rules until the leader has raised the version of the state, so that replicas of both programs agree; jobs that hang by them go on then (TestEarlierRulesHoldUntilAllReplicasKnowOthers).

--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -66,7 +66,7 @@
 		g.setCrashReports(body.CrashReports.Agents)
 		return Result{}
 	case *wire.WorkCommand_StateVersion:
-		g.raiseVersion(body.StateVersion)
+		g.raiseVersion(at, body.StateVersion)
 		return Result{}
 	case *wire.WorkCommand_Forget:
 		g.removeExpired(body.Forget.EndedBefore.AsTime())
@@ -130,7 +130,7 @@
 
 func (g *Graph) addJob(j *Job) {
 	g.jobs[j.ID] = j
-	if !j.started && !j.Ended() {
+	if !j.Started() {
 		g.pendingJobs[j.Queue]++
 	}
 	for _, ss := range j.Occurrences {
@@ -152,15 +152,12 @@
 	g.readyStages[s] = true
 }
 
-func (g *Graph) markStarted(j *Job) {
-	if j.started {
-		return
-	}
-	j.started = true
-	g.pendingJobs[j.Queue]--
-	if !j.Ended() {
-		j.State = wire.WorkState_WORK_STATE_RUNNING
+// setState changes the state of a job, which never becomes queued again.
+func (g *Graph) setState(j *Job, state wire.WorkState) {
+	if !j.Started() {
+		g.pendingJobs[j.Queue]--
 	}
+	j.State = state
 }
 
 // cancel ends a job. The leader stops its runs. If the job isn't known, its submission may come
@@ -181,11 +178,8 @@
 	if j.Ended() {
 		return
 	}
-	if !j.started {
-		g.pendingJobs[j.Queue]--
-		j.started = true
-	}
-	j.State, j.EndedAt = state, at
+	g.setState(j, state)
+	j.EndedAt = at
 	for _, ss := range j.Occurrences {
 		for _, s := range ss {
 			delete(g.readyStages, s)
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -83,6 +83,9 @@
 		Done: t.Done, Checkpoint: t.Checkpoint, Agent: t.Agent,
 		Crashes: t.Crashes, StartCrashes: t.StartCrashes, PresumedCrashes: t.PresumedCrashes,
 	}
+	if t.Index == 0 {
+		saved.FailedRun = t.Stage.failedRun
+	}
 	if t.Agent != "" && t.PlacedAt != 0 {
 		saved.PlacedAt = timestamppb.New(time.UnixMilli(t.PlacedAt))
 	}
@@ -127,7 +130,6 @@
 	j := &Job{
 		ID: saved.Id, Queue: saved.Queue, Pool: saved.Pool, Spec: saved.Spec, State: saved.State,
 		AcceptedAt: saved.AcceptedAt.AsTime(), Sequence: saved.Sequence,
-		started: saved.State != wire.WorkState_WORK_STATE_QUEUED,
 	}
 	if saved.EndedAt != nil {
 		j.EndedAt = saved.EndedAt.AsTime()
@@ -146,16 +148,7 @@
 			return err
 		}
 	}
-	for _, ss := range j.Occurrences {
-		for _, s := range ss {
-			if s.doneTasks == len(s.Tasks) {
-				j.openStages--
-				for _, d := range s.dependents {
-					d.openDependencies--
-				}
-			}
-		}
-	}
+	j.recount()
 	g.addJob(j)
 	j.compact()
 	return nil
@@ -174,6 +167,7 @@
 	t.Run, t.Done, t.Checkpoint = saved.Run, saved.Done, saved.Checkpoint
 	if s.Step.Gang {
 		s.failures += saved.Failures
+		s.failedRun = max(s.failedRun, saved.FailedRun)
 	} else {
 		t.Failures = saved.Failures
 	}
@@ -184,13 +178,6 @@
 	if saved.Agent != "" {
 		t.Agent = saved.Agent
 		agent.Tasks[t] = true
-		j.activeRuns++
-	}
-	if t.Done {
-		s.doneTasks++
-	}
-	if t.Done || t.Agent != "" {
-		s.Unplaced--
 	}
 	return nil
 }
--- a/internal/store/graph/job.go
+++ b/internal/store/graph/job.go
@@ -22,7 +22,6 @@
 		Occurrences [][]*Stage
 		openStages  int // stages that haven't ended
 		activeRuns  int // tasks with a run that may exist
-		started     bool
 	}
 
 	// Stage is one step of one occurrence of a job.
@@ -43,7 +42,9 @@
 		openDependencies int // earlier stages it waits for
 		dependents       []*Stage
 		doneTasks        int
+		completed        bool   // it isn't counted as open any more
 		failures         uint32 // failed attempts of a gang
+		failedRun        uint32 // the latest of them
 		summary          *wire.EndedStage
 		// Unplaced is the number of tasks that neither run nor have ended.
 		Unplaced int
@@ -126,8 +127,8 @@
 	return j.State != wire.WorkState_WORK_STATE_QUEUED && j.State != wire.WorkState_WORK_STATE_RUNNING
 }
 
-// Started reports whether a task of the job has been placed.
-func (j *Job) Started() bool { return j.started }
+// Started reports whether a task of the job has been placed, or the job has ended without one.
+func (j *Job) Started() bool { return j.State != wire.WorkState_WORK_STATE_QUEUED }
 
 // HasRun reports whether a task of the stage has been placed before.
 func (s *Stage) HasRun() bool {
@@ -149,9 +150,6 @@
 	return false
 }
 
-// Remaining returns the number of tasks that haven't ended.
-func (s *Stage) Remaining() int { return len(s.Tasks) - s.doneTasks }
-
 // Ready reports whether the stage has tasks that can be placed once it is due.
 func (s *Stage) Ready() bool { return s.Unplaced > 0 && s.openDependencies == 0 && !s.Job.Ended() }
 
@@ -207,7 +205,7 @@
 		}
 		stages := make([]*Stage, len(j.Spec.Steps))
 		for i, st := range j.Spec.Steps {
-			s := &Stage{Job: j, Occurrence: k, Index: uint32(i), Step: st, Due: due, Unplaced: int(st.Count)}
+			s := &Stage{Job: j, Occurrence: k, Index: uint32(i), Step: st, Due: due}
 			s.Tasks = make([]*Task, st.Count)
 			for n := range s.Tasks {
 				s.Tasks[n] = &Task{Stage: s, Index: uint32(n)}
@@ -216,8 +214,8 @@
 		}
 		linkStages(stages)
 		j.Occurrences = append(j.Occurrences, stages)
-		j.openStages += len(stages)
 	}
+	j.recount()
 }
 
 // linkStages connects the stages of one occurrence and computes their critical paths.
@@ -227,7 +225,6 @@
 	for _, s := range stages {
 		for _, d := range distinct(s.Step.After) {
 			stages[d].dependents = append(stages[d].dependents, s)
-			s.openDependencies++
 		}
 	}
 	for i := len(stages) - 1; i >= 0; i-- {
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -56,13 +56,13 @@
 	case p.Id.Run <= t.Run:
 		return ErrSuperseded
 	}
-	t.Run, t.Agent, t.PlacedAt = p.Id.Run, p.Agent, at.UnixMilli()
+	t.Run, t.PlacedAt = p.Id.Run, at.UnixMilli()
+	g.changeTask(t, func(t *Task) { t.Agent = p.Agent })
 	agent.Tasks[t] = true
-	t.Stage.Job.activeRuns++
 	g.notifyAgentChange(t.Agent)
-	t.Stage.Unplaced--
-	g.updateReady(t.Stage)
-	g.markStarted(t.Stage.Job)
+	if j := t.Stage.Job; !j.Started() {
+		g.setState(j, wire.WorkState_WORK_STATE_RUNNING)
+	}
 	return nil
 }
 
@@ -72,14 +72,7 @@
 		delete(agent.Tasks, t)
 	}
 	g.notifyAgentChange(t.Agent)
-	if t.Agent != "" {
-		t.Stage.Job.activeRuns--
-	}
-	t.Agent = ""
-	if !t.Done {
-		t.Stage.Unplaced++
-	}
-	g.updateReady(t.Stage)
+	g.changeTask(t, func(t *Task) { t.Agent = "" })
 	g.compactLater(t.Stage.Job)
 }
 
@@ -139,11 +132,7 @@
 		if f.Done {
 			continue
 		}
-		if f.Agent == "" {
-			f.Stage.Unplaced--
-		}
-		f.Done = true
-		f.Stage.doneTasks++
+		g.changeTask(f, func(t *Task) { t.Done = true })
 		g.notifyAgentChange(f.Agent)
 	}
 	if t.Stage.doneTasks == len(t.Stage.Tasks) {
@@ -151,25 +140,21 @@
 	}
 }
 
-func (g *Graph) completeStage(s *Stage) {
-	g.updateReady(s)
-	s.Job.openStages--
-	for _, d := range s.dependents {
-		d.openDependencies--
-		g.updateReady(d)
-	}
-}
-
 // recordFailure counts a failed attempt of the task or of its gang, and reports whether it was the
-// last one that is allowed.
+// last one that is allowed. The members of a gang make their attempts together, so a run of it fails
+// once, and not at all if another member has ended as done.
 func (g *Graph) recordFailure(t *Task) (exhausted bool) {
 	t.LastFailedOn = t.Agent
 	s := t.Stage
 	if s.Standing() {
 		return false
 	}
+	if g.stateVersion > unversioned && (t.Done || s.Step.Gang && s.failedRun == t.Run) {
+		return false
+	}
 	if s.Step.Gang {
 		s.failures++
+		s.failedRun = t.Run
 	} else {
 		t.Failures++
 	}
--- a/internal/store/graph/version.go
+++ b/internal/store/graph/version.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"sycamoredeck.example/internal/schema/wire"
 )
@@ -31,10 +32,26 @@
 	g.reset()
 }
 
-// raiseVersion changes the rules for all later commands. A lower version is a repeated command.
-func (g *Graph) raiseVersion(v *wire.StateVersion) {
+// raiseVersion changes the rules for all later commands. A lower version is a repeated command. What
+// earlier rules counted wrongly is derived anew, and jobs whose tasks are all done are completed.
+func (g *Graph) raiseVersion(at time.Time, v *wire.StateVersion) {
 	if v.Version <= g.stateVersion {
 		return
 	}
 	g.stateVersion = v.Version
+	for _, j := range g.Jobs() {
+		if j.Ended() {
+			continue
+		}
+		j.recount()
+		for _, ss := range j.Occurrences {
+			for _, s := range ss {
+				g.updateReady(s)
+			}
+		}
+		if j.openStages == 0 {
+			g.finishJob(at, j, wire.WorkState_WORK_STATE_COMPLETED)
+		}
+	}
+	g.notifyChange()
 }
