Accepted jobs keep the terms of a removed route

Callers saw: while their route is out of the configuration, jobs have three attempts whatever the route says.

Cause: the terms of an accepted job were read from the present catalog, which may have lost them. The limit of attempts then was a default. By reading, the same holds for the advice policy (starts without a ticket, on agents that the policy forbids), priority, stretch and target, the pool (that of the submission in place of the latest), and the pool's own definition (no new agent of a removed service was registered for jobs that wait).

Change: a queue that has jobs stays in the state when a catalog removes it, with its pool, until its last job is forgotten. Queue and Pool return these terms to whatever serves accepted jobs; requests match the catalog alone, so the route is as unreachable as before. Terms copied into each job would not follow a version that changes them while the route is there.

--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -235,7 +235,7 @@
 }
 
 // poolOf returns the pool of a job: that of its queue, or the one recorded at submission
-// if the queue no longer exists.
+// if the terms of the queue were lost before they were kept.
 func (e *Engine) poolOf(j *graph.Job) string { return e.currentPool(j.Queue, j.Pool) }
 
 func (e *Engine) currentPool(queue, fallback string) string {
--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -82,7 +82,11 @@
 	if c.Version <= g.catalog.Version {
 		return Result{}
 	}
+	queues, pools := g.terms()
 	g.setCatalog(c)
+	if g.stateVersion > unversioned {
+		g.keepTerms(queues, pools)
+	}
 	g.notifyChange()
 	return Result{}
 }
@@ -299,6 +303,9 @@
 			delete(g.jobs, id)
 		}
 	}
+	if len(g.removed.queues) > 0 {
+		g.keepTerms(g.terms())
+	}
 	for id, at := range g.removedAgents {
 		if at.Before(endedBefore) {
 			delete(g.removedAgents, id)
--- a/internal/store/graph/graph.go
+++ b/internal/store/graph/graph.go
@@ -33,9 +33,10 @@
 	Graph struct {
 		catalog       *wire.Catalog
 		catalogBytes  int
-		queues        map[string]*wire.Queue
+		queues        map[string]*wire.Queue // of the catalog, like queuesByHost and pools
 		queuesByHost  map[string][]*wire.Queue
 		pools         map[string]*wire.WorkerPool
+		removed       removedTerms
 		jobs          map[string]*Job
 		agents        map[string]*Agent
 		agentsByName  map[string][]*Agent  // by the agents' own ids
@@ -78,6 +79,7 @@
 	g.queues = map[string]*wire.Queue{}
 	g.queuesByHost = map[string][]*wire.Queue{}
 	g.pools = map[string]*wire.WorkerPool{}
+	g.removed = removedTerms{}
 	g.jobs = map[string]*Job{}
 	g.agents, g.agentsByName = map[string]*Agent{}, map[string][]*Agent{}
 	g.removedAgents = map[string]time.Time{}
@@ -96,12 +98,6 @@
 // CatalogBytes returns the size of the current catalog.
 func (g *Graph) CatalogBytes() int { return g.catalogBytes }
 
-// Queue returns the queue with a name, or nil.
-func (g *Graph) Queue(name string) *wire.Queue { return g.queues[name] }
-
-// Pool returns the pool with a name, or nil.
-func (g *Graph) Pool(name string) *wire.WorkerPool { return g.pools[name] }
-
 // Job returns a job, or nil.
 func (g *Graph) Job(id string) *Job { return g.jobs[id] }
 
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -26,6 +26,7 @@
 	for id, at := range g.removedAgents {
 		image.Dropped[id] = timestamppb.New(at)
 	}
+	g.removed.save(image)
 	g.drains.save(image)
 	image.SilentAgents = g.saveLeaseExpiries()
 	image.CrashReports = g.saveCrashReports()
@@ -107,6 +108,7 @@
 	}
 	g.sequence = image.NextSequence
 	g.estimates = image.Learned
+	g.removed.load(image)
 	g.drains.load(image)
 	for _, r := range image.Agents {
 		g.addAgent(r)
--- a/internal/store/graph/runs.go
+++ b/internal/store/graph/runs.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	// defaultMaxAttempts applies if a job's queue was removed or has no limit.
+	// defaultMaxAttempts applies if a job's queue has no limit, or was removed before its terms were kept.
 	defaultMaxAttempts = 3
 	// MaxStartCrashes limits the agents that crash as a task starts there: at this number
 	// the task's job fails. Each crash ends all runs on the agent, so the limit is low. But
@@ -192,7 +192,7 @@
 }
 
 func (g *Graph) maxAttempts(j *Job) uint32 {
-	if limit := g.queues[j.Queue].GetMaxAttempts(); limit > 0 {
+	if limit := g.Queue(j.Queue).GetMaxAttempts(); limit > 0 {
 		return limit
 	}
 	return defaultMaxAttempts
