Engine simulation plays gangs and removed routes

Gangs whose members end done together, fail once a run and break each other; the route of all jobs and its pool are removed for seconds while they work; completed jobs are checked against the ends that agents have seen.

--- a/internal/sched/drive/drive_test.go
+++ b/internal/sched/drive/drive_test.go
@@ -66,6 +66,7 @@
 	for _, id := range s.jobs {
 		j := s.graph.Job(id)
 		s.check(j.State != wire.WorkState_WORK_STATE_FAILED || s.mayFail(id), "job %s failed without cause", id)
+		s.checkCompleted(id)
 		if j.Ended() {
 			continue
 		}
@@ -113,6 +114,10 @@
 		{"drained domains, agent faults", true, faults{drain: 0.003, leaderChange: 0.001, late: 0.02, lost: 0.02, partition: 0.002, crash: 0.001, permanentLoss: 0.001, leave: 0.001, cancel: 0.002, failedRun: 0.02}, nil},
 		{"drained domains, unguarded", false, faults{drain: 0.003, leaderChange: 0.001, late: 0.05, lost: 0.05, failedRun: 0.02}, nil},
 		{"advice", true, faults{advice: true, late: 0.03, lost: 0.03, leaderChange: 0.001, failedRun: 0.02}, nil},
+		{"gangs", true, faults{gang: 0.5, failedRun: 0.1, cancel: 0.005}, nil},
+		{"gangs, removed routes", true, faults{gang: 0.5, removeRoute: 0.002, failedRun: 0.2, cancel: 0.005, partition: 0.002, late: 0.02, lost: 0.02, leaderChange: 0.001}, nil},
+		{"gangs, removed routes, unguarded", false, faults{gang: 0.3, removeRoute: 0.002, failedRun: 0.1, cancel: 0.005, crash: 0.001, leave: 0.001, late: 0.02, lost: 0.02, leaderChange: 0.001}, nil},
+		{"advice, removed routes", true, faults{advice: true, removeRoute: 0.002, late: 0.02, lost: 0.02, leaderChange: 0.001, failedRun: 0.1}, nil},
 		{"everything", true, faults{leaderChange: 0.001, late: 0.03, lost: 0.03, crash: 0.002, partition: 0.003, leave: 0.001, cancel: 0.002, permanentLoss: 0.001, failedRun: 0.02, failingAgent: 0.1}, nil},
 		{"everything, unguarded", false, faults{leaderChange: 0.001, late: 0.03, lost: 0.03, crash: 0.002, partition: 0.003, leave: 0.001, cancel: 0.002, failedRun: 0.02, failingAgent: 0.1}, []uint64{59}},
 	}
--- a/internal/sched/drive/faults_test.go
+++ b/internal/sched/drive/faults_test.go
@@ -17,8 +17,9 @@
 
 // crash ends an agent and its runs without notice.
 func (s *sim) crash(agent *modelAgent) {
-	for k := range agent.runs {
+	for k, run := range agent.runs {
 		s.crashes[k]++
+		s.leaveGang(run, wire.RunOutcome_RUN_OUTCOME_CRASHED)
 	}
 	delete(s.agents, agent.record.Address)
 }
@@ -70,7 +71,7 @@
 // crashed agents that its job may fail.
 func (s *sim) mayFail(job string) bool {
 	for k, n := range s.failedRuns {
-		if strings.HasPrefix(k, job+".") && n >= 3 {
+		if strings.HasPrefix(k, job+".") && n >= int(s.maxAttempts) {
 			return true
 		}
 	}
@@ -122,6 +123,9 @@
 	if s.faults.drain > 0 && s.chance(s.faults.drain) {
 		s.drainRandom()
 	}
+	if s.faults.removeRoute > 0 && s.chance(s.faults.removeRoute) {
+		s.removeRoute()
+	}
 	if s.isLeader && s.chance(s.faults.leaderChange) {
 		s.depose()
 	}
@@ -210,6 +214,9 @@
 		return
 	}
 	delete(s.agents, agent.record.Address)
+	for _, run := range agent.runs {
+		s.leaveGang(run, wire.RunOutcome_RUN_OUTCOME_STOPPED)
+	}
 	s.closeConnections(agent)
 	s.after(time.Second, func() { s.startAgent(agent.record.Address) })
 }
--- a/internal/sched/drive/invariants_test.go
+++ b/internal/sched/drive/invariants_test.go
@@ -18,8 +18,9 @@
 			s.check(false, "%s run %d starts on %s while run %d is on %s", key, o.Run.Run, on.record.Id, a.runs[key].id.Run, a.record.Id)
 		}
 	}
-	s.check(!s.doneAcked[key], "%s starts after its completion was acknowledged", key)
-	s.check(s.failures[key] < 3, "%s starts after %d failures", key, s.failures[key])
+	work := s.workKey(o.Run)
+	s.check(!s.doneAcked[work], "%s starts after its completion was acknowledged", key)
+	s.check(s.failures[work] < int(s.maxAttempts), "%s starts after %d failures", key, s.failures[work])
 	_, crashing := s.crashingJobs[o.Run.Job]
 	s.check(!crashing || s.otherCrashes || s.crashes[key] < maxTaskCrashes, "%s starts after it crashed %d agents", key, s.crashes[key])
 	s.check(s.causedCrashes[key] < maxTaskCrashes, "%s starts after %d agents crashed because of it", key, s.causedCrashes[key])
@@ -54,19 +55,23 @@
 // completionAcked is called when a completion is acknowledged to its agent.
 func (s *sim) completionAcked(completion drive.Completion) {
 	if completion.Outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
-		s.doneAcked[taskKey(completion.Run)] = true
+		s.doneAcked[s.workKey(completion.Run)] = true
 		t := s.graph.FindTask(completion.Run)
 		s.check(t == nil || t.Done, "the completion of %s is acknowledged before it is committed", taskKey(completion.Run))
 	}
-	if completion.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED && !s.steps[fmt.Sprintf("%s.%d", completion.Run.Job, completion.Run.Step)].Standing {
-		s.failures[taskKey(completion.Run)]++
+	if completion.Outcome == wire.RunOutcome_RUN_OUTCOME_FAILED && !s.stepOf(completion.Run).Standing {
+		s.countFailure(s.failures, s.countedAcks, completion.Run)
 	}
 }
 
 // runEnded is called when a run ends on an agent.
 func (s *sim) runEnded(run *modelRun, outcome wire.RunOutcome) {
+	s.leaveGang(run, outcome)
+	if outcome == wire.RunOutcome_RUN_OUTCOME_DONE {
+		s.doneWork[s.workKey(run.id)] = true
+	}
 	if outcome == wire.RunOutcome_RUN_OUTCOME_FAILED {
-		s.failedRuns[taskKey(run.id)]++
+		s.countFailure(s.failedRuns, s.countedRuns, run.id)
 	}
 	if s.faultsEnded && s.now > s.faultsEndedAt+modelMaxLease+time.Second && outcome == wire.RunOutcome_RUN_OUTCOME_LAPSED {
 		s.check(false, "the lease of %s expires without faults", taskKey(run.id))
--- a/internal/sched/drive/model_test.go
+++ b/internal/sched/drive/model_test.go
@@ -168,6 +168,7 @@
 		return drive.RefusedStale
 	}
 	if a.sim.advice {
+		a.sim.check(o.Ticket != "", "%s is ordered without a ticket", key)
 		expected := fmt.Sprintf("%s.%d.%d/%s", o.Run.Job, o.Run.Occurrence, o.Run.Step, a.record.Id)
 		if until, ok := a.sim.issuedTickets[o.Ticket]; o.Ticket != expected || !ok || a.sim.now > until {
 			a.sim.refusedTickets++
@@ -190,6 +191,9 @@
 		id: proto.Clone(o.Run).(*wire.RunId), step: step, length: length, cpuPercent: 100, startedAt: a.sim.now,
 		fails: a.failing || a.sim.failingJobs[o.Run.Job] || a.sim.random.Float64() < a.sim.faults.failedRun,
 	}
+	if step.Gang {
+		a.sim.gangOf(o.Run).present++
+	}
 	if a.sim.runCrashesAgent(a.runs[key]) {
 		a.sim.crashByRun(a, a.runs[key])
 		return drive.NoAnswer
@@ -225,7 +229,14 @@
 	}
 	for _, k := range a.runKeys() {
 		run := a.runs[k]
-		run.work += step * time.Duration(run.cpuPercent) / 100 / time.Duration(max(a.slowdown, 1))
+		works, byOthers := a.sim.gangStep(run)
+		if byOthers != wire.RunOutcome_RUN_OUTCOME_UNSPECIFIED {
+			a.end(k, byOthers)
+			continue
+		}
+		if works {
+			run.work += step * time.Duration(run.cpuPercent) / 100 / time.Duration(max(a.slowdown, 1))
+		}
 		if a.sim.runCrashesAgent(run) {
 			a.sim.crashByRun(a, run)
 			return
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
-	"google.golang.org/protobuf/types/known/durationpb"
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"sycamoredeck.example/internal/sched/drive"
@@ -57,6 +56,8 @@
 	restart              float64 // an agent crashes and restarts under the same id
 	incarnations         bool    // agents report their incarnations
 	drain                float64 // a failure domain is drained for some seconds
+	gang                 float64 // of each step: it is a gang
+	removeRoute          float64 // the route of all jobs is removed for some seconds
 	// disabled are the features that are switched off.
 	disabled map[drive.Feature]bool
 	// enabled are the optional features that are switched on.
@@ -135,6 +136,14 @@
 		// noCheckpoints makes runs save no checkpoints.
 		noCheckpoints bool
 
+		// gangs are the runs of gangs, doneWork the tasks and gangs that have ended as done.
+		gangs    map[string]*modelGang
+		doneWork map[string]bool
+		// countedAcks and countedRuns are the runs that failures and failedRuns count.
+		countedAcks, countedRuns map[string]bool
+		catalogVersion           uint64
+		maxAttempts              uint32
+
 		doneAcked  map[string]bool
 		failures   map[string]int
 		cancelled  map[string]time.Duration
@@ -163,16 +172,13 @@
 	s.losesOrders = f.late+f.lost+f.leaderChange > 0
 	s.graph.BootClock = func() time.Duration { return s.now }
 	s.tailLatencyOf = func(_ *modelAgent, run *modelRun) int { return int(run.step.TailTargetMs) / 2 }
-	queue := &wire.Queue{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", MaxAttempts: 3, Stretch: 2}
-	if f.advice {
-		queue.Advice = &wire.AdvicePolicy{Decide: durationpb.New(50 * time.Millisecond), Interval: durationpb.New(5 * time.Millisecond)}
-	}
-	s.advice = f.advice
-	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_PutCatalog{PutCatalog: &wire.Catalog{
-		Version: 1,
-		Queues:  []*wire.Queue{queue},
-		Pools:   []*wire.WorkerPool{{Name: "p", Guarded: guarded}},
-	}}})
+	s.gangs, s.doneWork = map[string]*modelGang{}, map[string]bool{}
+	s.countedAcks, s.countedRuns = map[string]bool{}, map[string]bool{}
+	s.advice, s.maxAttempts = f.advice, 3
+	if f.removeRoute > 0 {
+		s.maxAttempts = routedAttempts
+	}
+	s.putCatalog(true)
 	for i := range size {
 		s.startAgent(fmt.Sprintf("10.0.0.%d:1", i))
 	}
@@ -366,6 +372,9 @@
 	for _, d := range sortedKeys(s.drainedAt) {
 		s.drain(d, true)
 	}
+	if s.graph.Catalog().Queues == nil {
+		s.putCatalog(true)
+	}
 	for _, a := range s.agents {
 		a.failing, a.unreachableUntil = false, min(a.unreachableUntil, s.now)
 	}
@@ -385,6 +394,10 @@
 		if s.random.IntN(4) == 0 {
 			step.SpreadLimit = 1
 		}
+		// Drawn only if needed, like the other choices of single cases.
+		if s.faults.gang > 0 && s.chance(s.faults.gang) {
+			step.Gang, step.Count = true, min(step.Count+1, 3)
+		}
 		spec.Steps = append(spec.Steps, step)
 	}
 	if s.random.IntN(5) == 0 {
@@ -409,7 +422,10 @@
 		s.steps[fmt.Sprintf("%s.%d", id, i)] = st
 	}
 	spec := &wire.WorkSpec{Payload: "p", Steps: steps}
-	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: id, Queue: "q", Spec: spec}}})
+	result := s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: id, Queue: "q", Spec: spec}}})
+	if result.Err != nil {
+		return // its route is removed
+	}
 	s.jobs = append(s.jobs, id)
 }
 
