Jobs of one task keep the terms of a removed kind or account

Callers saw (by reading, then in-process): once a job kind is removed from the configuration, its jobs fail after three attempts whatever the kind said, idempotent ones on a lost worker end with an unknown outcome in place of running again, and jobs of a removed client account have no quota.

The random test of the machine removes and restores the configuration.

--- a/internal/store/graph/apply.go
+++ b/internal/store/graph/apply.go
@@ -84,7 +84,7 @@
 	}
 	queues, pools := g.terms()
 	g.setCatalog(c)
-	if g.stateVersion > unversioned {
+	if g.KeepsTerms() {
 		g.keepTerms(queues, pools)
 	}
 	g.notifyChange()
--- a/internal/store/graph/terms.go
+++ b/internal/store/graph/terms.go
@@ -30,6 +30,9 @@
 	return cmp.Or(g.pools[name], g.removed.pools[name])
 }
 
+// KeepsTerms reports whether the terms of accepted jobs are kept when a configuration removes them.
+func (g *Graph) KeepsTerms() bool { return g.stateVersion > unversioned }
+
 // keepTerms determines which removed queues and pools have to be kept, from earlier definitions.
 func (g *Graph) keepTerms(queues map[string]*wire.Queue, pools map[string]*wire.WorkerPool) {
 	kept := removedTerms{queues: map[string]*wire.Queue{}, pools: map[string]*wire.WorkerPool{}}
--- a/internal/store/node/version.go
+++ b/internal/store/node/version.go
@@ -3,13 +3,18 @@
 package node
 
 import (
+	"github.com/VictoriaMetrics/metrics"
+
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/state"
 )
 
+var stateVersionGauge = metrics.NewGauge("sycamoredeck_state_version", nil)
+
 // proposeStateVersion raises the version of the state's rules once all members know them. Until then
 // the leader and its followers apply commands as the earliest of them does.
 func (n *Node) proposeStateVersion() {
+	stateVersionGauge.Set(float64(n.machine.Graph().StateVersion()))
 	_, isLeader := n.IsLeader()
 	if !isLeader || n.failed {
 		n.proposedVersion = 0
--- a/internal/store/state/apply.go
+++ b/internal/store/state/apply.go
@@ -87,7 +87,7 @@
 		}
 		return Result{Job: existing, Duplicate: true}
 	}
-	kind := m.Kind(s.Spec.ClientAccount, s.Spec.JobKind)
+	kind := m.jobKinds[accountKey(s.Spec.ClientAccount, s.Spec.JobKind)]
 	if kind == nil {
 		return Result{Err: ErrUnknownKind}
 	}
@@ -203,7 +203,7 @@
 	if !w.Committed.Add(need).FitsIn(ResourcesOf(w.Record.Capacity)) {
 		return ErrInsufficientCapacity
 	}
-	quota := ResourcesOf(m.accounts[j.Spec.ClientAccount].GetQuota())
+	quota := ResourcesOf(m.Account(j.Spec.ClientAccount).GetQuota())
 	if !m.usedByAccount[j.Spec.ClientAccount].Add(need).FitsQuota(quota) {
 		return ErrQuota
 	}
@@ -396,6 +396,9 @@
 			delete(m.jobIDByKey, accountKey(j.Spec.ClientAccount, j.IdempotencyKey))
 		}
 	}
+	if len(m.removed.kinds)+len(m.removed.accounts) > 0 {
+		m.keepTerms(m.terms())
+	}
 	return Result{}
 }
 
--- a/internal/store/state/config.go
+++ b/internal/store/state/config.go
@@ -32,9 +32,11 @@
 		Version: current.Version + 1, Configuration: r.Configuration,
 		OperationId: r.OperationId, AppliedAt: c.At,
 	}
+	earlier := m.terms()
 	m.addConfiguration(next)
 	m.recordOperation(&wire.AppliedOperation{OperationId: r.OperationId, Version: next.Version, ContentHash: hash})
 	m.indexConfiguration()
+	m.keepTerms(earlier)
 	return m.appliedResult(next)
 }
 
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -82,6 +82,7 @@
 		finishedCount  uint64
 		jobKinds       map[string]*wire.JobKind
 		accounts       map[string]*wire.ClientAccount
+		removed        terms // that the configuration no longer has
 		graph          *graph.Graph
 	}
 )
@@ -108,6 +109,7 @@
 	m.queues = map[string]*queue{}
 	m.jobKinds = map[string]*wire.JobKind{}
 	m.accounts = map[string]*wire.ClientAccount{}
+	m.removed = terms{}
 	m.runningCount, m.nextSequence, m.finishedCount = 0, 0, 0
 }
 
@@ -135,16 +137,6 @@
 // Graph returns the part of the state that manages jobs with steps.
 func (m *Machine) Graph() *graph.Graph { return m.graph }
 
-// Kind returns a job kind of a client account, or nil.
-func (m *Machine) Kind(account, kind string) *wire.JobKind {
-	return m.jobKinds[accountKey(account, kind)]
-}
-
-// Account returns a client account, or nil.
-func (m *Machine) Account(name string) *wire.ClientAccount {
-	return m.accounts[name]
-}
-
 // Job returns a job, or nil. The job must not be modified.
 func (m *Machine) Job(id string) *wire.Job {
 	return m.jobs[id]
@@ -247,6 +239,7 @@
 		Quarantines:    m.quarantines,
 		Work:           m.graph.Save(),
 	}
+	m.removed.save(s)
 	for _, j := range m.jobs {
 		s.Jobs = append(s.Jobs, j)
 	}
@@ -282,6 +275,7 @@
 		return err
 	}
 	m.indexConfiguration()
+	m.removed.load(s)
 	for id, r := range s.Quarantines {
 		m.quarantines[id] = r
 	}
--- a/internal/store/state/state_test.go
+++ b/internal/store/state/state_test.go
@@ -262,13 +262,13 @@
 }
 
 // drawCommand draws a random command over few IDs, so that they often collide.
-func drawCommand(rt *rapid.T) *wire.Command {
+func drawCommand(rt *rapid.T, version uint64) *wire.Command {
 	job := fmt.Sprintf("j%d", rapid.IntRange(0, 5).Draw(rt, "job"))
 	worker := fmt.Sprintf("w%d", rapid.IntRange(1, 2).Draw(rt, "worker"))
 	incarnation := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "incarnation")
 	attempt := uint32(rapid.IntRange(1, 4).Draw(rt, "attempt"))
 	kind := rapid.SampledFrom([]string{"audit", "bill", "watch"}).Draw(rt, "kind")
-	switch rapid.IntRange(0, 8).Draw(rt, "command") {
+	switch rapid.IntRange(0, 9).Draw(rt, "command") {
 	case 0:
 		return submit(job, kind, uint64(rapid.IntRange(1, 5).Draw(rt, "cpu"))*1000)
 	case 1, 2, 3:
@@ -282,6 +282,12 @@
 		return lose(worker, incarnation)
 	case 7:
 		return cancel(job)
+	case 8:
+		c := testConfiguration()
+		if rapid.Bool().Draw(rt, "removed") {
+			c = &wire.Configuration{}
+		}
+		return applyConfiguration(fmt.Sprint("op-", version), version, c)
 	default:
 		return &wire.Command{At: timestamppb.New(time.Unix(1e6, 0)), Body: &wire.Command_Sweep{Sweep: &wire.Sweep{}}}
 	}
@@ -326,7 +332,7 @@
 		other.Apply(applyConfiguration("op", 0, testConfiguration()))
 		finalStates := map[string]wire.JobState{}
 		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
-			c := drawCommand(rt)
+			c := drawCommand(rt, m.Configuration().Version)
 			m.Apply(c)
 			other.Apply(c)
 			assertInvariants(rt, m)
