--- a/internal/store/node/fatal_test.go
+++ b/internal/store/node/fatal_test.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+	"sycamoredeck.example/internal/store/state"
 	"sycamoredeck.example/internal/store/walog"
 )
 
@@ -38,6 +41,23 @@
 	}
 }
 
+// Guards against a cluster that keeps the rules of earlier programs, or loses later ones at a restart.
+func TestStateVersionIsRaised(t *testing.T) {
+	folder := t.TempDir()
+	version := func(r *testReplica) (v uint32) {
+		assert.NilError(t, r.node.Do(context.Background(), func() { v = r.node.Machine().Graph().StateVersion() }))
+		return v
+	}
+	for range 2 {
+		r := startMachine(t, folder, walog.Options{}, state.New(state.Options{Unversioned: true}))
+		for end := time.Now().Add(time.Minute); version(r) < graph.Version && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		assert.Equal(t, version(r), uint32(graph.Version))
+		r.stop(t)
+	}
+}
+
 // Guards against a replica that can't start again because its log holds a record that ended it.
 func TestStartOnLogWithFatalRecord(t *testing.T) {
 	folder := t.TempDir()
--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -34,6 +34,11 @@
 }
 
 func start(t testing.TB, folder string, options walog.Options) *testReplica {
+	t.Helper()
+	return startMachine(t, folder, options, state.New(state.Options{}))
+}
+
+func startMachine(t testing.TB, folder string, options walog.Options, machine *state.Machine) *testReplica {
 	t.Helper()
 	log, durable, err := walog.Open(folder, options)
 	assert.NilError(t, err)
@@ -50,7 +55,7 @@
 		Send:          func(*wire.ControlMember, []*wire.PeerMessage) {},
 		Lookup:        func(uint64) *wire.ControlMember { return nil },
 		OnDiskFailure: func(err error) { r.failed <- err },
-	}, log, durable, state.New(state.Options{}))
+	}, log, durable, machine)
 	assert.NilError(t, err)
 	go r.node.Run()
 	r.waitForLeader(t)
