--- a/internal/store/graph/compact.go
+++ b/internal/store/graph/compact.go
@@ -47,11 +47,12 @@
 	return summary
 }
 
-// tasksFromSummary returns the tasks of a compacted stage that were placed.
+// tasksFromSummary returns the tasks of a compacted stage that were placed, or whose gang
+// has failed.
 func tasksFromSummary(summary *wire.EndedStage) []*wire.WorkTask {
 	var tasks []*wire.WorkTask
 	for i := range summary.GetRuns() {
-		if summary.Runs[i] == 0 && !summary.Done[i] {
+		if summary.Runs[i] == 0 && !summary.Done[i] && summary.Failures[i] == 0 {
 			continue
 		}
 		task := &wire.WorkTask{
--- a/internal/store/graph/gang_test.go
+++ b/internal/store/graph/gang_test.go
@@ -85,6 +85,17 @@
 	assertState(t, g, wire.WorkState_WORK_STATE_RUNNING, 1)
 }
 
+// Guards against an attempt of a gang that is missing from snapshots because the placement of its first
+// member was rejected.
+func TestFailureWithoutFirstMemberIsInSnapshots(t *testing.T) {
+	g := newTestGraph(t, &wire.Step{Count: 2, Gang: true})
+	g.Apply(noon, placeCommand("a1", runID(0, 1, 1)))
+	g.Apply(noon, endCommand("a1", runID(0, 1, 1), failed))
+	assert.NilError(t, reload(g))
+	left, _ := g.AttemptsLeft(g.FindTask(runID(0, 1, 1)))
+	assert.Equal(t, left, uint32(1))
+}
+
 // unversionedGangJob is gangJob on a replica that doesn't know whether all others know the latest rules.
 func unversionedGangJob(t *testing.T, more ...*wire.Step) *Graph {
 	t.Helper()
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -59,7 +59,7 @@
 				saved.EndedStages = append(saved.EndedStages, s.summary)
 			}
 			for _, t := range s.Tasks {
-				if t.Run == 0 && !t.Done {
+				if t.Run == 0 && !t.Done && t.savedFailures() == 0 {
 					continue
 				}
 				saved.Tasks = append(saved.Tasks, saveTask(t))
--- a/internal/store/graph/lives_test.go
+++ b/internal/store/graph/lives_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -124,7 +125,20 @@
 	return true
 }
 
-// place starts a task, or all members of a gang, if a step has one to start.
+// nextRun returns the number of a task's next run, which the members of a gang share.
+func (l *life) nextRun(step, index int) uint32 {
+	if !l.steps[step].Gang {
+		return l.tasks[step][index].run + 1
+	}
+	latest := uint32(0)
+	for _, t := range l.tasks[step] {
+		latest = max(latest, t.run)
+	}
+	return latest + 1
+}
+
+// place starts a task, or all members of a gang, if a step has one to start. Now and then the placement of
+// one member is rejected.
 func (l *life) place() error {
 	for _, step := range l.random.Perm(len(l.steps)) {
 		var placed []*wire.RunPlacement
@@ -139,11 +153,15 @@
 				continue
 			}
 			agent := fmt.Sprintf("a%d", 1+l.random.IntN(2))
-			placed = append(placed, &wire.RunPlacement{Agent: agent, Id: runID(uint32(step), uint32(index), t.run+1)})
+			placed = append(placed, &wire.RunPlacement{Agent: agent, Id: runID(uint32(step), uint32(index), l.nextRun(step, index))})
 		}
 		if len(placed) == 0 || l.steps[step].Gang && len(placed) < len(l.tasks[step]) {
 			continue
 		}
+		if l.steps[step].Gang && l.random.IntN(8) == 0 {
+			rejected := l.random.IntN(len(placed))
+			placed = slices.Delete(placed, rejected, rejected+1)
+		}
 		for _, p := range placed {
 			t := l.tasks[step][p.Id.Index]
 			t.run, t.agent, t.ended = p.Id.Run, p.Agent, wire.RunOutcome_RUN_OUTCOME_UNSPECIFIED
