--- a/internal/store/graph/ended_test.go
+++ b/internal/store/graph/ended_test.go
@@ -70,7 +70,7 @@
 			assert.ErrorIs(t, New().Load(image), ErrInvalid)
 		})
 	}
-	t.Run("later program", func(t *testing.T) {
+	t.Run("later release", func(t *testing.T) {
 		assert.ErrorIs(t, New().Load(&wire.WorkImage{StateVersion: Version + 1}), ErrLaterVersion)
 	})
 }
--- a/internal/store/graph/gang_test.go
+++ b/internal/store/graph/gang_test.go
@@ -115,7 +115,7 @@
 	return &wire.WorkCommand{Body: &wire.WorkCommand_StateVersion{StateVersion: &wire.StateVersion{Version: Version}}}
 }
 
-// Guards against a replica that disagrees with one of an earlier program on the same log, and against
+// Guards against a replica that disagrees with one of an earlier release on the same log, and against
 // counts of that time that stay wrong afterwards.
 func TestEarlierRulesHoldUntilAllReplicasKnowOthers(t *testing.T) {
 	t.Run("completed early", func(t *testing.T) {
--- a/internal/store/graph/image.go
+++ b/internal/store/graph/image.go
@@ -70,7 +70,7 @@
 }
 
 // savedFailures returns the failures that are saved with the task. Those of a gang are saved with its
-// first member, as earlier programs do.
+// first member, as earlier releases do.
 func (t *Task) savedFailures() uint32 {
 	if t.Index == 0 {
 		return t.attemptFailures()
--- a/internal/store/graph/version.go
+++ b/internal/store/graph/version.go
@@ -10,9 +10,9 @@
 )
 
 // Versions of the rules. Replicas apply a record by the version of their state, so that those with an
-// earlier program compute the same state until all of them know the later rules.
+// earlier release compute the same state until all of them know the later rules.
 const (
-	// unversioned is the state of programs that record no version. A completed gang completes its
+	// unversioned is the state of releases that record no version. A completed gang completes its
 	// stage again with each further member, each failed member of a gang counts as an attempt, and the
 	// terms of a removed queue are lost.
 	unversioned = 0
@@ -20,13 +20,13 @@
 	Version = 1
 )
 
-// ErrLaterVersion is returned for a state that a later program has saved.
+// ErrLaterVersion is returned for a state that a later release has saved.
 var ErrLaterVersion = fmt.Errorf("the state has rules that this program doesn't know; it knows version %d", Version)
 
 // StateVersion returns the version of the rules by which commands are applied.
 func (g *Graph) StateVersion() uint32 { return g.stateVersion }
 
-// AssumeUnversioned empties the state, and treats states without a version as those of an earlier program.
+// AssumeUnversioned empties the state, and treats states without a version as those of an earlier release.
 func (g *Graph) AssumeUnversioned() {
 	g.initialVersion = unversioned
 	g.reset()
--- a/internal/store/node/fatal_test.go
+++ b/internal/store/node/fatal_test.go
@@ -1,4 +1,4 @@
-// This file tests a log whose records an earlier program couldn't apply.
+// This file tests a log whose records an earlier release couldn't apply.
 
 package node_test
 
@@ -23,7 +23,7 @@
 	return &wire.WorkCommand{Body: &wire.WorkCommand_End{End: &wire.EndRuns{Ends: []*wire.RunEnd{{Id: memberRun(index), Agent: "a", Outcome: outcome}}}}}
 }
 
-// fatalCommands end with one by which programs without a state version panic: the failed end of a gang
+// fatalCommands end with one by which releases without a state version panic: the failed end of a gang
 // whose job was cancelled.
 func fatalCommands() []*wire.WorkCommand {
 	return []*wire.WorkCommand{
@@ -41,7 +41,7 @@
 	}
 }
 
-// Guards against a cluster that keeps the rules of earlier programs, or loses later ones at a restart.
+// Guards against a cluster that keeps the rules of earlier releases, or loses later ones at a restart.
 func TestStateVersionIsRaised(t *testing.T) {
 	folder := t.TempDir()
 	version := func(r *testReplica) (v uint32) {
--- a/internal/store/quorum/version_test.go
+++ b/internal/store/quorum/version_test.go
@@ -23,7 +23,7 @@
 	answer(2, 3)
 	assert.Equal(t, c.StateVersion(), uint32(0), "member 3 hasn't answered")
 	answer(3, 0)
-	assert.Equal(t, c.StateVersion(), uint32(0), "member 3 has an earlier program")
+	assert.Equal(t, c.StateVersion(), uint32(0), "member 3 has an earlier release")
 	answer(3, 2)
 	assert.Equal(t, c.StateVersion(), uint32(2))
 	answer(3, 9)
--- a/internal/store/state/machine.go
+++ b/internal/store/state/machine.go
@@ -55,7 +55,7 @@
 	Options struct {
 		// Retention is how long a job is kept after its end.
 		Retention time.Duration
-		// Unversioned makes the state follow the rules of earlier programs until a snapshot or a
+		// Unversioned makes the state follow the rules of earlier releases until a snapshot or a
 		// command says that all replicas know later ones.
 		Unversioned bool
 		// OnJobChange is called after each change of a job, which it must not modify.
