--- a/internal/store/graph/check.go
+++ b/internal/store/graph/check.go
@@ -16,7 +16,8 @@
 	// maxTasks bounds a job's tasks over all occurrences, so that no single job exhausts
 	// the memory of a control replica; 50,000 tasks take about 10 MB.
 	maxTasks = 50000
-	maxSteps = 1000
+	// MaxSteps bounds a job's steps.
+	MaxSteps = 1000
 	// idLength is the length of a job's id in hexadecimal digits.
 	idLength = 16
 )
@@ -42,8 +43,8 @@
 	switch {
 	case len(s.GetPayload()) > MaxPayloadBytes:
 		return fmt.Errorf("%w: the payload has %d bytes; at most %d are allowed", ErrInvalid, len(s.Payload), MaxPayloadBytes)
-	case len(s.GetSteps()) == 0 || len(s.Steps) > maxSteps:
-		return fmt.Errorf("%w: a job has 1 to %d steps, not %d", ErrInvalid, maxSteps, len(s.GetSteps()))
+	case len(s.GetSteps()) == 0 || len(s.Steps) > MaxSteps:
+		return fmt.Errorf("%w: a job has 1 to %d steps, not %d", ErrInvalid, MaxSteps, len(s.GetSteps()))
 	}
 	var tasks uint64
 	for i, st := range s.Steps {
