HTTP headers may have the size that configurations name

Cause: a header had to fit into the HTTP server's default read buffer of 4 KB.

Change: the buffer has the size of `--max-header-bytes` (16384) and 4 KB for the first line. Connections that have sent nothing hold no buffer, and what an active one takes is counted in the limit on connections.

--- a/internal/base/intake/intake_test.go
+++ b/internal/base/intake/intake_test.go
@@ -149,6 +149,7 @@
 		{"one byte", post("/a", 1, "x"), "x"},
 		{"largest", post("/a", len(body), body), body},
 		{"largest in a chunk", fmt.Sprintf("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body), body},
+		{"header", "GET /a HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 16<<10-20) + "\r\n\r\n", ""},
 		{"form", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Type: multipart/form-data; boundary=x\r\nContent-Length: 3\r\n\r\n--x", "--x"},
 		{"ignored body", "DELETE /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}", "{}"},
 	}
--- a/internal/base/intake/server.go
+++ b/internal/base/intake/server.go
@@ -25,13 +25,16 @@
 const (
 	// BodyOfNone is the largest body of a request that needs none.
 	BodyOfNone = 4 << 10
+	// requestLineBytes is added to the limit on headers for the request line.
+	requestLineBytes = 4 << 10
 	// idleTimeout is how long a connection without requests is kept open.
 	idleTimeout = 60 * time.Second
 	// retryAfter is when a refused caller should return, in seconds. Room becomes free
 	// within memory.Patience.
 	retryAfter = "1"
 
-	defaultTimeout = 10 * time.Second
+	defaultHeaderBytes = 16 << 10
+	defaultTimeout     = 10 * time.Second
 )
 
 var (
@@ -62,6 +65,8 @@
 		Budget *memory.Budget
 		// Connections is the number of connections that may be open.
 		Connections int
+		// HeaderBytes limits a header without the request line; 16 KiB if 0.
+		HeaderBytes int
 		// ReadTimeout limits the time to receive a request, and WriteTimeout that to send
 		// its answer. 10 s if 0.
 		ReadTimeout, WriteTimeout time.Duration
@@ -118,7 +123,8 @@
 	s.http = &fasthttp.Server{
 		Handler: s.handle, ErrorHandler: s.handleError, ExpectHandler: s.handleExpect, ConnState: changeState,
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true, Logger: quietLogger{},
-		IdleTimeout: idleTimeout, ReadTimeout: orDefault(limits.ReadTimeout, defaultTimeout), WriteTimeout: orDefault(limits.WriteTimeout, defaultTimeout),
+		ReadBufferSize: orDefault(limits.HeaderBytes, defaultHeaderBytes) + requestLineBytes,
+		IdleTimeout:    idleTimeout, ReadTimeout: orDefault(limits.ReadTimeout, defaultTimeout), WriteTimeout: orDefault(limits.WriteTimeout, defaultTimeout),
 		// Bodies are read by readBody. One byte is read before, and forms aren't parsed.
 		StreamRequestBody: true, MaxRequestBodySize: 1, DisablePreParseMultipartForm: true,
 		// Connections that have sent nothing hold no buffers.
@@ -141,6 +147,7 @@
 	l := Limits{
 		Budget:      &memory.Budget{Limit: limit.Requests()},
 		Connections: min(limit.Connections(), descriptors),
+		HeaderBytes: int(s.GetMaxHeaderBytes()),
 		ReadTimeout: s.GetRequestTimeout().AsDuration(), WriteTimeout: s.GetAnswerTimeout().AsDuration(),
 		Logger: logger,
 	}
