The memory of accepted jobs is bounded

On machines of 280 MB some forty such jobs are enough, and as they are committed, the replicas end again at each start.

Cause: a job was bounded, all jobs together weren't.

Change: the leader estimates at a submission what all jobs take, those that it has proposed among them, and answers 429 with Retry-After to what exceeds `--job-memory-mb` (a quarter of the memory limit). Jobs of more than 1,000 tasks leave a quarter of that to others. A job that could never fit is answered 400. The id of a job that exists or was proposed in this term is never refused, as its caller may not have received the answer; without a valid lease every job is accepted, as before. The decision isn't part of the replicated state.

--- a/internal/base/memory/memory.go
+++ b/internal/base/memory/memory.go
@@ -23,6 +23,8 @@
 	// connectionShare that for their connections.
 	requestShare    = 0.2
 	connectionShare = 0.2
+	// jobShare is the share of the limit for the jobs that a control replica knows.
+	jobShare = 0.25
 	// connectionBytes is what an active connection takes besides its body: a goroutine,
 	// the buffers of the header and of the response, and the parsed header.
 	connectionBytes = 48 << 10
@@ -51,6 +53,9 @@
 // Requests returns the bytes that the requests of all callers may hold together.
 func (l Limit) Requests() int64 { return int64(float64(l) * requestShare) }
 
+// Jobs returns the bytes that the jobs of a control replica may take.
+func (l Limit) Jobs() int64 { return int64(float64(l) * jobShare) }
+
 // Connections returns how many connections of callers fit into their share.
 func (l Limit) Connections() int {
 	return max(int(float64(l)*connectionShare/connectionBytes), minConnections)
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -19,6 +19,7 @@
 	"sycamoredeck.example/internal/base/boot"
 	"sycamoredeck.example/internal/base/files"
 	"sycamoredeck.example/internal/base/intake"
+	"sycamoredeck.example/internal/base/memory"
 	"sycamoredeck.example/internal/front/proxy"
 	"sycamoredeck.example/internal/sched/admit"
 	"sycamoredeck.example/internal/sched/drive"
@@ -76,13 +77,22 @@
 		Lease:           min(c.settings.AgentLease.AsDuration(), c.settings.MaxAgentLease.AsDuration()),
 		StopGrace:       c.settings.StopGrace.AsDuration(),
 		OtherRackFactor: c.settings.OtherRackFactor, MaxConnections: files.NewBudget(c.settings.MaxOpenFiles).Agents,
-		Advise: c.requestAdvice, Disabled: disabled, Enabled: enabled, Logger: c.logger,
+		JobMemory: c.jobMemory(),
+		Advise:    c.requestAdvice, Disabled: disabled, Enabled: enabled, Logger: c.logger,
 	})
 	c.machine.Graph().OnJobFinished = c.recordJobFinished
 	c.background.Go(c.retentionLoop)
 	return nil
 }
 
+// jobMemory returns the limit on what all jobs take, in bytes.
+func (c *Control) jobMemory() int64 {
+	if c.settings.JobMemoryMb > 0 {
+		return int64(memory.NewLimit(c.settings.JobMemoryMb))
+	}
+	return memory.NewLimit(c.settings.MemoryLimitMb).Jobs()
+}
+
 // recordJobFinished records the metric and the log line of a finished job. Every replica
 // applies the command; only the leader records it.
 func (c *Control) recordJobFinished(j *graph.Job) {
@@ -191,7 +201,7 @@
 	receivedAt := s.clock.Now()
 	invalidSpec := graph.CheckSpec(r.Spec)
 	job, result, err := s.commitForJob(ctx, r.Target, func(j jobName) (*wire.WorkCommand, error) {
-		if err := cmp.Or(graph.CheckID(j.id), invalidSpec); err != nil {
+		if err := cmp.Or(graph.CheckID(j.id), invalidSpec, s.engine.CheckSize(r.Spec)); err != nil {
 			return nil, err
 		}
 		return &wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: j.id, Queue: j.queue, Spec: r.Spec}}}, nil
--- a/internal/sched/admit/admit.go
+++ b/internal/sched/admit/admit.go
@@ -36,6 +36,16 @@
 	Accepted Reason = iota
 	NoAgent
 	Backlog
+	Memory
+)
+
+const (
+	// smallJob is the size up to which jobs may use all memory for jobs, in bytes. Larger
+	// ones leave smallShare of it.
+	smallJob   = 256 << 10
+	smallShare = 0.25
+	// memoryReturn is when a job that found no memory may be submitted again.
+	memoryReturn = 5 * time.Second
 )
 
 type (
@@ -80,7 +90,7 @@
 	}
 )
 
-var reasonNames = [...]string{Accepted: "accepted", NoAgent: "no_agent", Backlog: "backlog"}
+var reasonNames = [...]string{Accepted: "accepted", NoAgent: "no_agent", Backlog: "backlog", Memory: "memory"}
 
 // String returns the name used in logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
@@ -98,6 +108,25 @@
 	return r.decideByBacklog()
 }
 
+// DecideByMemory decides about a job of an estimated size while others take memory, which is
+// limited; 0 means no limit. Large jobs leave room for small ones.
+func DecideByMemory(size, taken, limit int64) Decision {
+	if limit > 0 && taken+size > memoryFor(size, limit) {
+		return Decision{Reason: Memory, RetryAfter: memoryReturn}
+	}
+	return Decision{}
+}
+
+// FitsMemory reports whether a job of an estimated size can ever be accepted.
+func FitsMemory(size, limit int64) bool { return limit == 0 || size <= memoryFor(size, limit) }
+
+func memoryFor(size, limit int64) int64 {
+	if size > smallJob {
+		return int64(float64(limit) * (1 - smallShare))
+	}
+	return limit
+}
+
 // stepWithoutAgent returns the first step whose tasks fit no agent, or -1. A pool without
 // agents isn't judged: all of them may be cut off for a moment.
 func (r *Request) stepWithoutAgent() int {
@@ -161,8 +190,11 @@
 
 // Error returns the text for the caller.
 func (r *Refusal) Error() string {
-	if r.Reason == NoAgent {
+	switch r.Reason {
+	case NoAgent:
 		return fmt.Sprintf("admit: a task of step %d fits no agent of the pool", r.Step)
+	case Memory:
+		return "admit: the jobs in work leave no memory for this one"
 	}
 	return fmt.Sprintf("admit: the job would begin after %v, which is over three times its objective", r.Begin.Round(time.Millisecond))
 }
--- a/internal/sched/drive/admission.go
+++ b/internal/sched/drive/admission.go
@@ -3,6 +3,7 @@
 package drive
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,12 +20,15 @@
 	// submissionMemory is how long the ids of accepted submissions are kept. Each is applied
 	// or lost long before.
 	submissionMemory = time.Minute
+	// memoryMaxAge is how long the estimate of what all jobs take is used.
+	memoryMaxAge = time.Second
 )
 
 // jobsRefused counts refused jobs by reason.
 var jobsRefused = map[admit.Reason]*metrics.Counter{
 	admit.NoAgent: metrics.NewCounter(`sycamoredeck_jobs_refused_total{reason="no_agent"}`),
 	admit.Backlog: metrics.NewCounter(`sycamoredeck_jobs_refused_total{reason="backlog"}`),
+	admit.Memory:  metrics.NewCounter(`sycamoredeck_jobs_refused_total{reason="memory"}`),
 }
 
 type (
@@ -32,9 +36,13 @@
 	// that of a new term.
 	admission struct {
 		term uint64
-		// accepted holds when the ids of the jobs that may be in the log were accepted.
-		accepted    map[string]time.Duration
+		// accepted holds the ids of the jobs that may be in the log.
+		accepted    map[string]acceptedJob
 		nextCleanup time.Duration
+		// memory estimates what all jobs take: those that were known at measuredAt, and
+		// those accepted since.
+		memory     int64
+		measuredAt time.Duration
 		// drained is the work that ended, and waiting the work that waits and can still be
 		// of worth, in millicores times milliseconds of declared time. running is the
 		// requested CPU of all runs but standing ones, in millicores.
@@ -44,6 +52,12 @@
 		summedAt time.Duration // waiting and running
 	}
 
+	// acceptedJob is when a job was accepted, and its estimated size in bytes.
+	acceptedJob struct {
+		at   time.Duration
+		size int64
+	}
+
 	// workKind identifies work that competes for the same CPU.
 	workKind struct {
 		pool          string
@@ -72,32 +86,69 @@
 // log, is always accepted: the caller may not have received the answer. Without the lease
 // every job is accepted, since another leader may have accepted it before.
 func (e *Engine) Admit(s Submission) *admit.Refusal {
-	if !e.enabled(JobAdmission) || e.graph.Job(s.Job) != nil {
+	if e.graph.Job(s.Job) != nil {
 		return nil
 	}
 	a := e.admissionOf(s.Term)
 	if _, accepted := a.accepted[s.Job]; accepted {
 		return nil
 	}
+	size := graph.SpecBytes(s.Spec)
 	if s.Leased && e.term == s.Term {
-		if r := e.refusal(a, s.Queue, s.Job, s.Spec); r != nil {
+		if r := e.refusalByMemory(a, s, size); r != nil {
 			return r
 		}
+		if e.enabled(JobAdmission) {
+			if r := e.refusal(a, s.Queue, s.Job, s.Spec); r != nil {
+				return r
+			}
+		}
+	}
+	a.accepted[s.Job] = acceptedJob{e.now, size}
+	a.memory += size
+	return nil
+}
+
+// CheckSize returns an error if a job takes more memory than any job may.
+func (e *Engine) CheckSize(spec *wire.WorkSpec) error {
+	if size := graph.SpecBytes(spec); !admit.FitsMemory(size, e.options.JobMemory) {
+		return fmt.Errorf("%w: the job takes %d MB of memory", graph.ErrInvalid, size>>20)
 	}
-	a.accepted[s.Job] = e.now
 	return nil
 }
 
+// refusalByMemory refuses a job that finds no memory, or returns nil.
+func (e *Engine) refusalByMemory(a *admission, s Submission, size int64) *admit.Refusal {
+	if e.options.JobMemory == 0 {
+		return nil
+	}
+	if a.measuredAt == 0 || e.now-a.measuredAt >= memoryMaxAge {
+		a.memory, a.measuredAt = e.graph.JobBytes(), e.now
+		for id, j := range a.accepted {
+			if e.graph.Job(id) == nil && e.now-j.at < submissionMemory {
+				a.memory += j.size
+			}
+		}
+	}
+	d := admit.DecideByMemory(size, a.memory, e.options.JobMemory)
+	if d.Reason == admit.Accepted {
+		return nil
+	}
+	jobsRefused[d.Reason].Inc()
+	e.options.Logger.Debug("job refused", "job", s.Job, "queue", s.Queue, "reason", d.Reason.String(), "bytes", size, "taken", a.memory, "limit", e.options.JobMemory)
+	return &admit.Refusal{Decision: d}
+}
+
 // admissionOf returns the state of the admission in a term.
 func (e *Engine) admissionOf(term uint64) *admission {
 	a := &e.admission
 	if a.term != term || a.accepted == nil {
-		*a = admission{term: term, accepted: map[string]time.Duration{}, drained: map[workKind]*admit.Rate{}}
+		*a = admission{term: term, accepted: map[string]acceptedJob{}, drained: map[workKind]*admit.Rate{}}
 	}
 	if e.now >= a.nextCleanup {
 		a.nextCleanup = e.now + submissionMemory/10
-		for id, at := range a.accepted {
-			if e.now-at > submissionMemory {
+		for id, j := range a.accepted {
+			if e.now-j.at > submissionMemory {
 				delete(a.accepted, id)
 			}
 		}
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -50,6 +50,8 @@
 		// OtherRackFactor is the slowdown of a task that runs outside the rack of its
 		// data; values below 1 count as 1.
 		OtherRackFactor float64
+		// JobMemory limits what all jobs take, in bytes by estimate; 0 means no limit.
+		JobMemory int64
 		// MaxConnections limits the connections to agents; 0 means no limit.
 		MaxConnections int
 		// Disabled are the features that are switched off.
--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -124,3 +124,6 @@
 
 // Enable switches an optional feature on.
 func (e *Engine) Enable(f Feature) { e.options.Enabled = map[Feature]bool{f: true} }
+
+// LimitJobMemory limits the memory of all jobs.
+func (e *Engine) LimitJobMemory(bytes int64) { e.options.JobMemory = bytes }
--- /dev/null
+++ b/internal/sched/drive/memory_test.go
@@ -0,0 +1,83 @@
+// This file tests that the leader bounds the memory of jobs.
+
+package drive_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"sycamoredeck.example/internal/sched/admit"
+	"sycamoredeck.example/internal/sched/drive"
+	"sycamoredeck.example/internal/schema/wire"
+	"sycamoredeck.example/internal/store/graph"
+)
+
+const testJobMemory = 4 << 20
+
+// submission asks the leader about a job of a number of tasks.
+func (s *sim) submission(number int, tasks uint32) *admit.Refusal {
+	return s.engine.Admit(drive.Submission{
+		Queue: "q", Job: jobID(number), Spec: &wire.WorkSpec{Steps: []*wire.Step{{Count: tasks, CpuMillis: 1}}}, Term: s.term, Leased: true,
+	})
+}
+
+// Guards against replicas that run out of memory by the tasks of accepted jobs, and against
+// large jobs that keep out small ones.
+func TestJobsWithoutMemoryAreRefused(t *testing.T) {
+	s := newSim(1, 4, true, faults{})
+	s.engine.LimitJobMemory(testJobMemory)
+	s.run(2*time.Second, 0)
+	accepted := 0
+	for n := range 20 {
+		r := s.submission(1000+n, 3000) // applied later, or lost
+		if r == nil {
+			accepted++
+			continue
+		}
+		assert.Equal(t, r.Reason, admit.Memory)
+		assert.Assert(t, r.RetryAfter > 0)
+	}
+	assert.Equal(t, accepted, 4) // of 0.75 MB each, in three quarters of 4 MB
+	for n := range 100 {
+		assert.Assert(t, s.submission(2000+n, 10) == nil, "small job %d", n)
+	}
+}
+
+// Guards against refusing a job that was accepted before, whose caller may not have
+// received the answer.
+func TestAcceptedJobIsNotRefusedForMemory(t *testing.T) {
+	s := newSim(1, 4, true, faults{})
+	s.engine.LimitJobMemory(testJobMemory)
+	s.run(2*time.Second, 0)
+	assert.Assert(t, s.submission(1000, 10000) == nil)
+	assert.Assert(t, s.submission(1001, 10000) != nil)
+	assert.Assert(t, s.submission(1000, 10000) == nil)
+	s.submitJob(&wire.Step{Count: 10000, CpuMillis: 1 << 30})
+	s.run(time.Second, 0)
+	assert.Assert(t, s.engine.Admit(drive.Submission{Queue: "q", Job: s.jobs[0], Spec: &wire.WorkSpec{}, Term: s.term, Leased: true}) == nil)
+}
+
+// Guards against memory that stays taken after jobs have ended.
+func TestEndedJobsGiveMemoryBack(t *testing.T) {
+	s := newSim(1, 4, true, faults{})
+	s.engine.LimitJobMemory(testJobMemory)
+	s.run(2*time.Second, 0)
+	s.submitJob(&wire.Step{Count: 11000, CpuMillis: 1 << 30})
+	s.run(2*time.Second, 0)
+	assert.Assert(t, s.submission(1000, 5000) != nil)
+	s.commit(&wire.WorkCommand{Body: &wire.WorkCommand_Cancel{Cancel: &wire.CancelWork{Job: s.jobs[0], Queue: "q"}}})
+	s.run(10*time.Second, 0)
+	assert.Assert(t, s.submission(1001, 5000) == nil)
+}
+
+// Guards against telling the caller of a job that can never be accepted to return.
+func TestJobLargerThanMemoryIsInvalid(t *testing.T) {
+	s := newSim(1, 4, true, faults{})
+	s.engine.LimitJobMemory(testJobMemory)
+	err := s.engine.CheckSize(&wire.WorkSpec{Steps: []*wire.Step{{Count: 20000}}})
+	assert.Assert(t, errors.Is(err, graph.ErrInvalid))
+	assert.NilError(t, s.engine.CheckSize(&wire.WorkSpec{Steps: []*wire.Step{{Count: 10000}}}))
+}
