gRPC ports bound what unfinished calls and connections take

Cause: the server tells of a message when it is whole, up to 256 MB, and bounds neither calls nor connections; a header may have 16 MB.

Change: the listener follows the frames of each connection and counts unfinished messages beyond 32 KB in a budget; a message without room ends its connection, as do others that have been unfinished for a second while room is short. Calls are refused as not executed before anything is allocated for them; connections with more than 16 leave a quarter to others. At the limit on connections the one that has completed no message for 5 s is closed; the system's own complete one at least each second. Headers are limited to 32 KB.

--- a/internal/base/files/files.go
+++ b/internal/base/files/files.go
@@ -27,6 +27,10 @@
 	// entryCallerShare is the share of the rest for connections from clients to an entry,
 	// which has none to agents.
 	entryCallerShare = 0.8
+	// reservedPeers and peerShare are the connections to the gRPC port, of the reserve and
+	// of the rest.
+	reservedPeers = 200
+	peerShare     = 0.1
 	// minShare is the minimum of each share, so that the process remains usable under
 	// a small limit.
 	minShare = 16
@@ -46,6 +50,8 @@
 	// Agents limits the connections to agents, Callers those from agents and
 	// operators.
 	Agents, Callers int
+	// Peers limits the connections to the gRPC port.
+	Peers int
 }
 
 // NewBudget divides up the system's limit on descriptors, or that of the setting if it
@@ -60,14 +66,17 @@
 		Limit:   limit,
 		Agents:  max(int(rest*agentShare), minShare),
 		Callers: max(int(rest*callerShare), minShare),
+		Peers:   peers(limit, rest),
 	}
 }
 
+func peers(limit int, rest float64) int { return min(reservedPeers, limit/4) + int(rest*peerShare) }
+
 // NewEntryBudget does the same for an entry.
 func NewEntryBudget(setting uint32) Budget {
 	b := NewBudget(setting)
 	rest := float64(max(b.Limit-reservedDescriptors, 0))
-	return Budget{Limit: b.Limit, Callers: max(int(rest*entryCallerShare), minShare)}
+	return Budget{Limit: b.Limit, Callers: max(int(rest*entryCallerShare), minShare), Peers: b.Peers}
 }
 
 func systemLimit() int {
--- a/internal/base/files/files_test.go
+++ b/internal/base/files/files_test.go
@@ -25,6 +25,7 @@
 			b := NewBudget(c.setting)
 			assert.Equal(t, b.Agents, c.agents)
 			assert.Equal(t, b.Callers, c.callers)
+			assert.Assert(t, b.Peers > 0 && NewEntryBudget(c.setting).Callers >= b.Callers)
 		})
 	}
 	t.Run("no setting", func(t *testing.T) {
--- a/internal/base/intake/conns.go
+++ b/internal/base/intake/conns.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/valyala/fasthttp"
 
 	"sycamoredeck.example/internal/base/files"
@@ -39,12 +40,18 @@
 type (
 	// connTable is a listener that accepts a limited number of connections. When all are
 	// in use, the connection whose caller has had the turn for longest is closed, if that
-	// is memory.Patience or more; otherwise the new one is refused.
+	// is patience or more; otherwise the new one is refused.
 	connTable struct {
 		net.Listener
-		limit  int
-		budget *memory.Budget
-		logger *slog.Logger
+		limit    int
+		budget   *memory.Budget
+		patience time.Duration
+		// answer is sent to refused callers; they are only disconnected if it is empty.
+		answer string
+		logger *slog.Logger // may be nil
+		// gauge, refused and revokes count connections; gauge may be nil.
+		gauge            *metrics.Gauge
+		refused, revokes *metrics.Counter
 
 		mu        sync.Mutex
 		open      int
@@ -90,7 +97,7 @@
 		if c := t.admit(raw); c != nil {
 			return c, nil
 		}
-		connectionsRefused.Inc()
+		t.refused.Inc()
 		t.logRefusal("all connections are in use")
 		t.refuse(raw)
 	}
@@ -109,37 +116,43 @@
 	if t.open >= t.limit+maxClosing {
 		return nil
 	}
-	t.open++
-	connectionsOpen.Add(1)
+	t.addOpen(1)
 	c := &conn{Conn: raw, table: t}
 	c.startWaiting()
 	return c
 }
 
+func (t *connTable) addOpen(n int) {
+	t.open += n
+	if t.gauge != nil {
+		t.gauge.Add(float64(n))
+	}
+}
+
 // revokeLongest ends the wait for the caller that has had the turn for longest, and reports
-// whether there is one that has had it for memory.Patience.
+// whether there is one that has had it for the table's patience.
 func (t *connTable) revokeLongest() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	front := t.waiting.Front()
-	if front == nil || time.Since(front.Value.(*conn).since) < memory.Patience {
+	if front == nil || time.Since(front.Value.(*conn).since) < t.patience {
 		return false
 	}
-	connectionsRevoked.Inc()
+	t.revokes.Inc()
 	front.Value.(*conn).revokeLocked()
 	return true
 }
 
 // refuse answers a connection that has no place, without blocking.
 func (t *connTable) refuse(raw net.Conn) {
-	if !t.startLingering() {
+	if t.answer == "" || !t.startLingering() {
 		raw.Close()
 		return
 	}
 	go func() {
 		defer t.stopLingering()
 		_ = raw.SetWriteDeadline(time.Now().Add(lingerTimeout))
-		if _, err := io.WriteString(raw, refusal); err == nil {
+		if _, err := io.WriteString(raw, t.answer); err == nil {
 			drain(raw)
 		}
 		raw.Close()
@@ -290,6 +303,14 @@
 	c.unread = true
 }
 
+// SetDeadline does the same, and sets the deadline for writes.
+func (c *conn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
 func (c *conn) closeHold() {
 	if c.hold != nil {
 		c.hold.Close()
@@ -317,8 +338,7 @@
 	err := c.Conn.Close()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.open--
-	connectionsOpen.Add(-1)
+	t.addOpen(-1)
 	if c.revoked {
 		t.revoked--
 	}
--- a/internal/base/intake/server.go
+++ b/internal/base/intake/server.go
@@ -130,7 +130,10 @@
 		// Connections that have sent nothing hold no buffers.
 		ReduceMemoryUsage: true,
 	}
-	table := &connTable{Listener: listener, limit: limits.Connections, budget: limits.Budget, logger: limits.Logger}
+	table := &connTable{
+		Listener: listener, limit: limits.Connections, budget: limits.Budget, patience: memory.Patience, answer: refusal,
+		logger: limits.Logger, gauge: connectionsOpen, refused: connectionsRefused, revokes: connectionsRevoked,
+	}
 	go s.http.Serve(table)
 	return func() { s.http.Shutdown() }
 }
--- a/internal/base/link/server.go
+++ b/internal/base/link/server.go
@@ -32,11 +32,8 @@
 // NewServer returns a server that answers pings and accepts messages of at most
 // maxBytes, and its health service. If traced is set, calls get spans. ReadyService is
 // not serving until the caller changes its status.
-func NewServer(maxBytes int, traced bool) (*grpc.Server, *health.Server) {
-	options := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(maxBytes),
-		grpc.MaxSendMsgSize(MaxMessageBytes),
-	}
+func NewServer(maxBytes int, traced bool, options ...grpc.ServerOption) (*grpc.Server, *health.Server) {
+	options = append(options, grpc.MaxRecvMsgSize(maxBytes), grpc.MaxSendMsgSize(MaxMessageBytes))
 	if traced {
 		options = append(options, grpc.StatsHandler(otelgrpc.NewServerHandler(otelgrpc.WithFilter(isTraced))))
 	}
--- a/internal/base/memory/memory.go
+++ b/internal/base/memory/memory.go
@@ -25,6 +25,15 @@
 	connectionShare = 0.2
 	// jobShare is the share of the limit for the jobs that a control replica knows.
 	jobShare = 0.25
+	// messageShare is the share for unfinished messages of gRPC, and callShare that for calls
+	// without their messages, which take callBytes each.
+	messageShare = 0.15
+	callShare    = 0.1
+	callBytes    = 12 << 10
+	// callConnectionShare is the share for gRPC connections, which take callConnectionBytes
+	// each for their buffers.
+	callConnectionShare = 0.1
+	callConnectionBytes = 80 << 10
 	// connectionBytes is what an active connection takes besides its body: a goroutine,
 	// the buffers of the header and of the response, and the parsed header.
 	connectionBytes = 48 << 10
@@ -56,6 +65,17 @@
 // Jobs returns the bytes that the jobs of a control replica may take.
 func (l Limit) Jobs() int64 { return int64(float64(l) * jobShare) }
 
+// Messages returns the bytes that unfinished messages may hold together.
+func (l Limit) Messages() int64 { return int64(float64(l) * messageShare) }
+
+// Calls returns how many gRPC calls fit into their share.
+func (l Limit) Calls() int { return max(int(float64(l)*callShare/callBytes), minConnections) }
+
+// CallConnections returns how many gRPC connections fit into their share.
+func (l Limit) CallConnections() int {
+	return max(int(float64(l)*callConnectionShare/callConnectionBytes), minConnections)
+}
+
 // Connections returns how many connections of callers fit into their share.
 func (l Limit) Connections() int {
 	return max(int(float64(l)*connectionShare/connectionBytes), minConnections)
--- a/internal/run/ctrl/ctrl.go
+++ b/internal/run/ctrl/ctrl.go
@@ -83,6 +83,7 @@
 		limits       intake.Limits
 		engine       *drive.Engine
 		orders       *orderSender
+		listener     *intake.CallListener
 		server       *grpc.Server
 		view         atomic.Pointer[view]
 		entries      entryTable
@@ -169,8 +170,10 @@
 	}
 	c.view.Store(&view{changed: make(chan struct{})})
 	go c.watchSettings(ctx, reloads)
+	limit := memory.NewLimit(c.settings.MemoryLimitMb)
+	c.listener = intake.NewCallListener(listener, intake.NewCallLimits(c.settings.Common, limit, files.NewBudget(c.settings.MaxOpenFiles).Peers, notExecuted+"too many calls"))
 	c.register()
-	go c.server.Serve(listener)
+	go c.server.Serve(c.listener)
 	if err := c.admin.Start(c.settings.Common.AdminAddress, c.limits); err != nil {
 		return err
 	}
--- a/internal/run/ctrl/peer.go
+++ b/internal/run/ctrl/peer.go
@@ -58,7 +58,7 @@
 )
 
 func (c *Control) register() {
-	c.server, _ = link.NewServer(link.MaxMessageBytes, c.settings.Common.TraceEndpoint != "")
+	c.server, _ = link.NewServer(link.MaxMessageBytes, c.settings.Common.TraceEndpoint != "", c.listener.ServerOptions()...)
 	wire.RegisterPeerServiceServer(c.server, &peerService{Control: c})
 	wire.RegisterControlServiceServer(c.server, &controlService{Control: c})
 	wire.RegisterJobServiceServer(c.server, &jobService{Control: c})
--- a/internal/run/entry/entry.go
+++ b/internal/run/entry/entry.go
@@ -71,6 +71,7 @@
 	roster   *roster.Roster
 	calls    *calls.Server
 	sharer   *sharer
+	listener *intake.CallListener
 	server   *grpc.Server
 	health   *health.Server
 	divider  atomic.Pointer[slots.Divider]
@@ -91,11 +92,12 @@
 		return err
 	}
 	defer flush(context.WithoutCancel(ctx))
-	e.build()
 	listener, err := net.Listen("tcp", settings.Common.ListenAddress)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
+	e.listener = intake.NewCallListener(listener, intake.NewCallLimits(settings.Common, memory.NewLimit(settings.MemoryLimitMb), files.NewEntryBudget(settings.MaxOpenFiles).Peers, uplink.NotExecuted+"too many calls"))
+	e.build()
 	limits := newLimits(settings, logger)
 	if err := e.admin.Start(settings.Common.AdminAddress, limits); err != nil {
 		return err
@@ -107,7 +109,7 @@
 		}
 	}
 	logger.Info("started", "address", settings.Common.ListenAddress, "control", controlAddresses(settings))
-	return e.serve(ctx, listener, stopPlatform)
+	return e.serve(ctx, stopPlatform)
 }
 
 // newLimits applies the memory limit and returns the limits for callers.
@@ -168,7 +170,7 @@
 	})
 	e.relay = relay.New(common.InstanceId, e.uplink, e.clock, e.logger)
 	e.sharer = &sharer{entry: e}
-	e.server, e.health = link.NewServer(int(e.settings.MaxPayloadBytes)+messageOverhead, e.pool.Options.Traced)
+	e.server, e.health = link.NewServer(int(e.settings.MaxPayloadBytes)+messageOverhead, e.pool.Options.Traced, e.listener.ServerOptions()...)
 	wire.RegisterCallerServiceServer(e.server, e.calls)
 	wire.RegisterWorkerServiceServer(e.server, e.relay)
 	wire.RegisterAnnounceServiceServer(e.server, &announceService{Entry: e})
@@ -186,7 +188,7 @@
 	e.calls.Resize()
 }
 
-func (e *Entry) serve(ctx context.Context, listener net.Listener, stopPlatform func()) error {
+func (e *Entry) serve(ctx context.Context, stopPlatform func()) error {
 	background, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	group, background := errgroup.WithContext(background)
@@ -196,7 +198,7 @@
 	group.Go(func() error { e.sweep(background); return nil })
 	group.Go(func() error { e.watchSettings(background); return nil })
 	served := make(chan error, 1)
-	go func() { served <- e.server.Serve(listener) }()
+	go func() { served <- e.server.Serve(e.listener) }()
 	select {
 	case <-ctx.Done():
 		e.drain(stopPlatform)
