The memory of registered agents is bounded

Cause: heartbeats of a pool in the catalog register without end, and every replica keeps them.

Change: the leader refuses to register an agent beyond `--agent-memory-mb` (a tenth of the memory limit; 6,000 agents of usual size on 280 MB), with 503 and Retry-After, before it changes anything. Agents that are registered are never refused.

--- a/internal/base/memory/memory.go
+++ b/internal/base/memory/memory.go
@@ -25,6 +25,8 @@
 	connectionShare = 0.2
 	// jobShare is the share of the limit for the jobs that a control replica knows.
 	jobShare = 0.25
+	// agentShare is the share for the agents that a control replica knows.
+	agentShare = 0.1
 	// messageShare is the share for unfinished messages of gRPC, and callShare that for calls
 	// without their messages, which take callBytes each.
 	messageShare = 0.15
@@ -65,6 +67,9 @@
 // Jobs returns the bytes that the jobs of a control replica may take.
 func (l Limit) Jobs() int64 { return int64(float64(l) * jobShare) }
 
+// Agents returns the bytes that the agents of a control replica may take.
+func (l Limit) Agents() int64 { return int64(float64(l) * agentShare) }
+
 // Messages returns the bytes that unfinished messages may hold together.
 func (l Limit) Messages() int64 { return int64(float64(l) * messageShare) }
 
--- a/internal/run/ctrl/report.go
+++ b/internal/run/ctrl/report.go
@@ -5,17 +5,22 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
 	"sycamoredeck.example/internal/base/boot"
 	"sycamoredeck.example/internal/front/proxy"
+	"sycamoredeck.example/internal/front/uplink"
 	"sycamoredeck.example/internal/sched/drive"
 	"sycamoredeck.example/internal/schema/wire"
 	"sycamoredeck.example/internal/store/node"
 )
 
+// registrationRetryDelay is when an agent that found no memory should report again.
+const registrationRetryDelay = 5 * time.Second
+
 // leaderProxy returns a proxy that handles calls locally while this replica is the leader, and
 // forwards them to the leader otherwise.
 func (c *Control) leaderProxy() proxy.Leader {
@@ -70,8 +75,11 @@
 	}
 	select {
 	case err := <-done:
-		if errors.Is(err, drive.ErrNotLeader) {
+		switch {
+		case errors.Is(err, drive.ErrNotLeader):
 			err = node.ErrNotLeader
+		case errors.Is(err, drive.ErrTooManyAgents):
+			return nil, uplink.Refused(err.Error(), registrationRetryDelay)
 		}
 		if err != nil {
 			return nil, statusError(err)
--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -77,8 +77,8 @@
 		Lease:           min(c.settings.AgentLease.AsDuration(), c.settings.MaxAgentLease.AsDuration()),
 		StopGrace:       c.settings.StopGrace.AsDuration(),
 		OtherRackFactor: c.settings.OtherRackFactor, MaxConnections: files.NewBudget(c.settings.MaxOpenFiles).Agents,
-		JobMemory: c.jobMemory(),
-		Advise:    c.requestAdvice, Disabled: disabled, Enabled: enabled, Logger: c.logger,
+		JobMemory: c.jobMemory(), AgentMemory: c.agentMemory(),
+		Advise: c.requestAdvice, Disabled: disabled, Enabled: enabled, Logger: c.logger,
 	})
 	c.machine.Graph().OnJobFinished = c.recordJobFinished
 	c.background.Go(c.retentionLoop)
@@ -93,6 +93,14 @@
 	return memory.NewLimit(c.settings.MemoryLimitMb).Jobs()
 }
 
+// agentMemory returns the limit on what registered agents take, in bytes.
+func (c *Control) agentMemory() int64 {
+	if c.settings.AgentMemoryMb > 0 {
+		return int64(memory.NewLimit(c.settings.AgentMemoryMb))
+	}
+	return memory.NewLimit(c.settings.MemoryLimitMb).Agents()
+}
+
 // recordJobFinished records the metric and the log line of a finished job. Every replica
 // applies the command; only the leader records it.
 func (c *Control) recordJobFinished(j *graph.Job) {
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -52,6 +52,9 @@
 		OtherRackFactor float64
 		// JobMemory limits what all jobs take, in bytes by estimate; 0 means no limit.
 		JobMemory int64
+		// AgentMemory limits what registered agents take, in bytes by estimate; 0 means no
+		// limit.
+		AgentMemory int64
 		// MaxConnections limits the connections to agents; 0 means no limit.
 		MaxConnections int
 		// Disabled are the features that are switched off.
@@ -136,6 +139,8 @@
 		// progress is the progress of each stage that was seen with tasks to place.
 		progress  map[*graph.Stage]*stageProgress
 		admission admission
+		// agentMemory bounds the agents that are registered.
+		agentMemory agentMemory
 		// failedSearches are the latest searches for agents on which runs can continue.
 		failedSearches map[alternativeKind]failedSearch
 		// lateStages are stages to report by reportLateStages, in scheduling order.
--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -125,5 +125,8 @@
 // Enable switches an optional feature on.
 func (e *Engine) Enable(f Feature) { e.options.Enabled = map[Feature]bool{f: true} }
 
+// LimitAgentMemory limits the memory of all agents.
+func (e *Engine) LimitAgentMemory(bytes int64) { e.options.AgentMemory = bytes }
+
 // LimitJobMemory limits the memory of all jobs.
 func (e *Engine) LimitJobMemory(bytes int64) { e.options.JobMemory = bytes }
--- a/internal/sched/drive/memory_test.go
+++ b/internal/sched/drive/memory_test.go
@@ -4,9 +4,11 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"sycamoredeck.example/internal/sched/admit"
@@ -81,3 +83,32 @@
 	assert.Assert(t, errors.Is(err, graph.ErrInvalid))
 	assert.NilError(t, s.engine.CheckSize(&wire.WorkSpec{Steps: []*wire.Step{{Count: 10000}}}))
 }
+
+// Guards against replicas that run out of memory by heartbeats of agents that don't exist, and
+// against refusing agents that are registered.
+func TestAgentsWithoutMemoryAreRefused(t *testing.T) {
+	s := newSim(1, 4, true, faults{})
+	s.run(2*time.Second, 0)
+	report := func(id string) (err error) {
+		r := &wire.ReportAgentRequest{Agent: &wire.Agent{Id: id, Address: id, Pool: "p", FailureDomain: "d", CpuMillis: 1, MemoryMb: 1}}
+		s.engine.HandleReport(s.now, r, func(e error) { err = e })
+		return err
+	}
+	s.engine.LimitAgentMemory(s.graph.AgentBytes() + 3*graph.RecordBytes(&wire.Agent{Id: "stranger-00"}) - 1)
+	var refused int
+	for i := range 10 {
+		if errors.Is(report(fmt.Sprintf("stranger-%d", i)), drive.ErrTooManyAgents) {
+			refused++
+		}
+	}
+	assert.Equal(t, refused, 8)
+	for _, a := range s.graph.Agents() {
+		record := proto.Clone(a.Record).(*wire.Agent)
+		record.Leaving = true
+		var err error
+		s.engine.HandleReport(s.now, &wire.ReportAgentRequest{Agent: record}, func(e error) { err = e })
+		assert.NilError(t, err)
+	}
+	s.engine.LimitAgentMemory(0)
+	assert.NilError(t, report("stranger-11"))
+}
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -61,6 +61,12 @@
 		done(nil)
 		return
 	}
+	if registered == nil {
+		if err := e.admitAgent(record); err != nil {
+			done(err)
+			return
+		}
+	}
 	e.options.Logger.Info("agent reported", "agent", record.Id, "address", record.Address, "pool", record.Pool,
 		"failure_domain", record.FailureDomain, "leaving", record.Leaving, "incarnation", record.Incarnation, "new", registered == nil)
 	e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, func(err error) {
--- a/internal/store/graph/size.go
+++ b/internal/store/graph/size.go
@@ -2,16 +2,23 @@
 
 package graph
 
-import "sycamoredeck.example/internal/schema/wire"
+import (
+	"google.golang.org/protobuf/proto"
 
-// Estimates of what the parts of a job take in a replica, in bytes, with the leader's records
-// about them.
+	"sycamoredeck.example/internal/schema/wire"
+)
+
+// Estimates of what the parts of a job, and an agent, take in a replica, in bytes, with the
+// leader's records about them.
 const (
 	jobBytes        = 1 << 10
 	stepBytes       = 512
 	stageBytes      = 320
 	taskBytes       = 256
 	dependencyBytes = 16
+	agentBytes      = 4 << 10
+	// recordCopies is how often the record of an agent is held.
+	recordCopies = 2
 )
 
 // SpecBytes estimates the memory that a job will take until it ends.
@@ -51,3 +58,15 @@
 	}
 	return bytes
 }
+
+// RecordBytes estimates the memory that an agent takes.
+func RecordBytes(a *wire.Agent) int64 { return agentBytes + recordCopies*int64(proto.Size(a)) }
+
+// AgentBytes estimates the memory that all agents take.
+func (g *Graph) AgentBytes() int64 {
+	var bytes int64
+	for _, a := range g.agents {
+		bytes += RecordBytes(a.Record)
+	}
+	return bytes
+}
