Ordinary jobs count as small requests; admin and ready ports take IPv6 again

Requests count as small up to 32 KB, what a job with a payload of 4,000 bytes takes with its copies: with 16 KB such jobs competed with large ones for three quarters of the budget. The servers listen by "tcp" as the admin port did before, since its address may be an IPv6 one.

--- a/internal/base/intake/server.go
+++ b/internal/base/intake/server.go
@@ -1,6 +1,7 @@
 // This file defines Serve, which serves HTTP to callers that aren't trusted.
 
-// Package intake serves HTTP within limits on what callers may send and hold.
+// Package intake serves HTTP within limits on what callers may send and hold, and applies
+// such limits to the gRPC port of a process.
 //
 // The limits apply before memory is taken: to the connections of a server, to the header
 // and the body of a request, and to what all requests of the process hold together. What
@@ -43,10 +44,10 @@
 	connectionsRevoked = metrics.NewCounter("sycamoredeck_web_connections_revoked_total")
 	requestsRevoked    = metrics.NewCounter("sycamoredeck_web_requests_revoked_total")
 
-	bodiesTooLarge  = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="body too large"}`)
-	headersTooLarge = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="header too large"}`)
-	requestsNoRoom  = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="no room"}`)
-	requestsTooSlow = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="too slow"}`)
+	bodiesTooLarge  = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="body_too_large"}`)
+	headersTooLarge = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="header_too_large"}`)
+	requestsNoRoom  = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="no_room"}`)
+	requestsTooSlow = metrics.NewCounter(`sycamoredeck_web_requests_refused_total{reason="too_slow"}`)
 )
 
 type (
@@ -109,7 +110,7 @@
 	if address == "" {
 		return func() {}, nil
 	}
-	listener, err := net.Listen("tcp4", address)
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
--- a/internal/base/memory/budget.go
+++ b/internal/base/memory/budget.go
@@ -17,7 +17,7 @@
 	Patience = time.Second
 	// smallRequest is the size up to which requests may use the whole budget. Larger ones
 	// leave smallShare of it, so that they don't keep out heartbeats and ordinary jobs.
-	smallRequest = 16 << 10
+	smallRequest = 32 << 10
 	smallShare   = 0.25
 	// pressureShare is the share in use from which unfinished requests are revoked.
 	pressureShare = 0.7
