--- a/internal/base/intake/body.go
+++ b/internal/base/intake/body.go
@@ -75,15 +75,16 @@
 	return body, nil
 }
 
-// Reserve takes bytes for the answer to a request, until it was sent. If there is no room
-// it refuses the request and returns false; the request must not have been executed.
+// Reserve takes bytes for the answer to a request until it was sent, and reports whether
+// there was room for them.
 func Reserve(r *fasthttp.RequestCtx, bytes int) bool {
 	c, ok := r.Conn().(*conn)
-	if !ok || c.hold == nil || c.hold.Take(int64(bytes)) {
-		return true
-	}
+	return !ok || c.hold == nil || c.hold.Take(int64(bytes))
+}
+
+// Refuse answers a request that had no effect and finds no room.
+func Refuse(r *fasthttp.RequestCtx) {
 	requestsNoRoom.Inc()
 	r.SetStatusCode(fasthttp.StatusServiceUnavailable)
 	r.Response.Header.Set(fasthttp.HeaderRetryAfter, retryAfter)
-	return false
 }
