--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -15,6 +15,10 @@
   fi
 fi
 # Limits tests that hang. It is long, since a loaded machine takes several times as long.
-go test -race -timeout 60m -skip "${skip:+$skip|}^TestCrowd" ./...
+# The soak waits most of the time, and runs beside the others.
+go test -race -timeout 60m -run '^TestSoak$' ${skip:+-skip "$skip"} ./platform &
+soak=$!
+go test -race -timeout 60m -skip "${skip:+$skip|}^TestCrowd|^TestSoak$" ./... || { wait "$soak"; exit 1; }
+wait "$soak"
 # These measure the memory of processes, and run apart from all others.
 exec go test -race -timeout 60m -run '^TestCrowd' ${skip:+-skip "$skip"} ./platform
