--- a/scripts/unit.sh
+++ b/scripts/unit.sh
@@ -20,5 +20,6 @@
 soak=$!
 go test -race -timeout 60m -skip "${skip:+$skip|}^TestCrowd|^TestSoak$" ./... || { wait "$soak"; exit 1; }
 wait "$soak"
-# These measure the memory of processes, and run apart from all others.
-exec go test -race -timeout 60m -run '^TestCrowd' ${skip:+-skip "$skip"} ./platform
+# These measure the memory of processes, and run apart from all others. The processes aren't
+# built with the race detector.
+exec go test -timeout 60m -run '^TestCrowd' ${skip:+-skip "$skip"} ./platform
