Starts are logged by run, with when they were decided and sent

'starts confirmed' lists each run with its times, 'starts sent late' those sent over a second after their decision or after the leader knew of the leaving; 'agent leaves', 'leaving of an agent answered' and 'overtaken heartbeat acknowledged' tell the other hypotheses. Metrics: starts that wait, starts sent late by reason. No decision changes.

--- a/internal/run/ctrl/orders.go
+++ b/internal/run/ctrl/orders.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/semaphore"
 
 	"sycamoredeck.example/internal/base/boot"
@@ -17,6 +19,13 @@
 // their time limit, and sends each again on a new connection.
 const maxStartsInFlight = 400
 
+// startsWaiting is the number of starts that wait for their turn.
+var startsWaiting atomic.Int64
+
+func init() {
+	metrics.NewGauge("sycamoredeck_starts_waiting", func() float64 { return float64(startsWaiting.Load()) })
+}
+
 // orderSender sends orders and returns their answers. newOrderSender creates one.
 type orderSender struct {
 	call             func(context.Context, drive.Order) drive.Answer
@@ -33,7 +42,9 @@
 func (s *orderSender) send(o drive.Order) drive.Answer {
 	ctx := context.Background()
 	if o.Kind == drive.Start {
+		startsWaiting.Add(1)
 		_ = s.starts.Acquire(ctx, 1) // fails only if the context ends
+		startsWaiting.Add(-1)
 		defer s.starts.Release(1)
 	}
 	if !s.holdsLeaderLease(o.Fence) {
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -77,6 +77,8 @@
 	dropping     bool
 	backoffUntil time.Duration
 	leavesAt     time.Duration // earliest shutdown of a leaving agent; 0 if unknown
+	// leavingSince is when this leader learned from the state that it is leaving; 0 before.
+	leavingSince time.Duration
 	// reportSequence is the sequence number of the latest heartbeat; reported is set once
 	// this leader has received one.
 	reportSequence      uint64
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -77,7 +77,7 @@
 		// endedJobRuns are the runs of ended jobs.
 		endedJobRuns    map[*run]bool
 		nextOverdueScan time.Duration
-		stops           stopLog
+		logs            runLogs
 		// pendingEnds are the run ends to commit at the next flush.
 		pendingEnds endBatch
 		// changedAgents are the agents whose replicated state changed since the last
@@ -184,7 +184,7 @@
 
 func (e *Engine) reset() {
 	e.agents, e.due, e.firstPolls = directory{}, dueAgents{}, firstPolls{}
-	e.runs, e.endedJobRuns, e.stops = map[*graph.Task]*run{}, map[*run]bool{}, stopLog{}
+	e.runs, e.endedJobRuns, e.logs = map[*graph.Task]*run{}, map[*run]bool{}, runLogs{}
 	endedJobRuns.Store(0)
 	oldestEndedJobRun.Store(0)
 	e.changedAgents = map[string]bool{}
@@ -221,6 +221,7 @@
 	e.syncState()
 	e.flushEnds()
 	e.reportOverdueStops()
+	defer e.flushLogs()
 	// Without the leader lease every order would be dropped before it is sent.
 	if !e.holdsLeaderLease() {
 		return
@@ -233,7 +234,6 @@
 		e.saveEstimates()
 		e.checkHealth()
 	}
-	e.flushStops()
 	e.place()
 }
 
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -46,6 +46,10 @@
 	dispatchSeconds = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="dispatch"}`)
 	callSeconds     = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="call"}`)
 	answerSeconds   = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="answer"}`)
+	// startsLate counts starts that were sent long after their decision, startsAfterLeaving
+	// those that were sent to an agent that was known to leave.
+	startsLate         = metrics.NewCounter(`sycamoredeck_starts_sent_late_total{reason="dispatch"}`)
+	startsAfterLeaving = metrics.NewCounter(`sycamoredeck_starts_sent_late_total{reason="leaving"}`)
 )
 
 // outcomeNames and outcomeCounters are precomputed, as thousands of runs may end in a
--- a/internal/sched/drive/overdue.go
+++ b/internal/sched/drive/overdue.go
@@ -21,8 +21,6 @@
 	overdueScanInterval = 500 * time.Millisecond
 	// maxOverdueLogged limits the log lines of one examination. The others are counted.
 	maxOverdueLogged = 20
-	// maxStopsListed limits the runs in one log line of stops.
-	maxStopsListed = 40
 )
 
 // stopObstacle is what keeps a run of an ended job from being stopped.
@@ -130,30 +128,3 @@
 	id := r.id()
 	return fmt.Sprintf("%s.%d.%d.%d#%d@%s", id.Job, id.Occurrence, id.Step, id.Index, id.Run, r.agent.record.Id)
 }
-
-// stopLog collects the stops of one reconciliation for one log line. The zero value is empty.
-type stopLog struct {
-	text  strings.Builder
-	count int
-}
-
-// add adds a stop.
-func (l *stopLog) add(r *run, reason string) {
-	l.count++
-	if l.count > maxStopsListed {
-		return
-	}
-	if l.text.Len() > 0 {
-		l.text.WriteByte(' ')
-	}
-	fmt.Fprintf(&l.text, "%s=%s", formatRun(r), strings.ReplaceAll(reason, " ", "-"))
-}
-
-// flushStops logs the stops that were sent since the last call.
-func (e *Engine) flushStops() {
-	if e.stops.count == 0 {
-		return
-	}
-	e.options.Logger.Info("stops sent", "count", e.stops.count, "runs", e.stops.text.String())
-	e.stops = stopLog{}
-}
--- a/internal/sched/drive/progress.go
+++ b/internal/sched/drive/progress.go
@@ -2,7 +2,14 @@
 
 package drive
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
+
+// lateStartAfter is how long after the decision a start may be sent before it is reported.
+// An agent's leaving has to be effective within seconds.
+const lateStartAfter = time.Second
 
 // stageProgress is when a stage reached each step on the way to its first started run.
 type stageProgress struct {
@@ -39,6 +46,7 @@
 		dispatchSeconds.Update(dispatch.Seconds())
 		callSeconds.Update(call.Seconds())
 		answerSeconds.Update(answer.Seconds())
+		e.logStart(r, ans)
 	}
 	s := r.task.Stage
 	p := e.progress[s]
@@ -54,3 +62,25 @@
 		"queue_ms", (p.proposedAt - p.readyAt).Milliseconds(), "commit_ms", (p.committedAt - p.proposedAt).Milliseconds(),
 		"dispatch_ms", dispatch.Milliseconds(), "call_ms", call.Milliseconds(), "answer_ms", answer.Milliseconds())
 }
+
+// reportLateStart reports a start that was sent long after it was decided, or after this
+// leader learned that the agent is leaving.
+func (e *Engine) reportLateStart(r *run, ans Answer) {
+	if ans.CalledAt == 0 {
+		return
+	}
+	dispatch, leaving := ans.CalledAt-ans.Order.SentAt, time.Duration(0)
+	if since := r.agent.leavingSince; since != 0 {
+		leaving = max(ans.CalledAt-since, 0)
+	}
+	if dispatch <= lateStartAfter && leaving == 0 {
+		return
+	}
+	if dispatch > lateStartAfter {
+		startsLate.Inc()
+	}
+	if leaving > 0 {
+		startsAfterLeaving.Inc()
+	}
+	e.logs.lateStarts.add(r, maxRunsListed, fmt.Sprintf("%d/%d", dispatch.Milliseconds(), leaving.Milliseconds()))
+}
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -48,6 +48,8 @@
 	a := e.agents.byID[record.Id]
 	if a != nil {
 		if report.Sequence != 0 && report.Sequence < a.reportSequence {
+			e.options.Logger.Info("overtaken heartbeat acknowledged", "agent", record.Id, "leaving", record.Leaving, "leaving_committed", a.record.Leaving,
+				"sequence", report.Sequence, "latest", a.reportSequence)
 			done(nil)
 			return
 		}
@@ -73,6 +75,9 @@
 		if err == nil {
 			e.markReported(record.Id)
 		}
+		if record.Leaving {
+			e.options.Logger.Info("leaving of an agent answered", "agent", record.Id, "sequence", report.Sequence, "took_ms", (e.now - now).Milliseconds(), "error", err)
+		}
 		done(err)
 	})
 }
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -185,7 +185,7 @@
 	if r.phase == phaseUnknown && r.startsSent == 0 && !r.agent.synced {
 		return
 	}
-	e.stops.add(r, reason)
+	e.logStop(r, reason)
 	r.stopPending = true
 	r.stopsSent++
 	e.send(r.agent, Order{Kind: Stop, Run: r.id()})
@@ -274,6 +274,7 @@
 	if ans.Verdict != NoAnswer {
 		r.startsAnswered++
 	}
+	e.reportLateStart(r, ans)
 	if r.phase == phaseRunning || r.phase == phaseClosed || r.endPending {
 		return
 	}
--- a/internal/sched/drive/sync.go
+++ b/internal/sched/drive/sync.go
@@ -45,6 +45,7 @@
 		a = e.newAgent(registered)
 	}
 	e.agents.update(a, registered.Record)
+	e.noteLeaving(a)
 	e.noteTermination(a)
 	e.markChanged(a)
 	for t := range registered.Tasks {
@@ -59,6 +60,21 @@
 	}
 }
 
+// noteLeaving records when this leader learned from the state that an agent is leaving.
+func (e *Engine) noteLeaving(a *agent) {
+	if !a.record.Leaving || a.leavingSince != 0 {
+		return
+	}
+	a.leavingSince = e.now
+	unsent := 0
+	for _, r := range a.sortedRuns {
+		if r.phase == phaseStarting || r.phase == phaseUnresolved {
+			unsent++
+		}
+	}
+	e.options.Logger.Info("agent leaves", "agent", a.record.Id, "failure_domain", a.record.FailureDomain, "runs", len(a.runs), "unconfirmed", unsent)
+}
+
 func (e *Engine) syncTask(a *agent, t *graph.Task) {
 	known := e.runs[t]
 	if known != nil && known.number == t.Run && known.agent == a {
