A start is decided when it is sent

Cause: Engine.start checked that the agent isn't leaving, that its domain isn't drained, its health, capacity and ticket, and granted the lease; then the order waited in orderSender for one of 400 slots, and only the leader lease was checked when its turn came. Slow or silent agents hold a slot for up to 600 ms, so that thousands of starts wait for seconds, up to the lease of 9 s.

Change: starts that are due wait in the engine, and everything is decided as a slot becomes free, by one gate (reasonNotToStart, then capacity, ticket and lease). At most 400 are in flight, at most four to one agent, and one to an agent that left a start unanswered; slots go by priority, and to the agents with the fewest in flight, so that slow agents don't hold up others. Nothing more is placed on an agent for which 16 starts wait, or of a priority for which 400 wait for a slot. What waits is abandoned once its agent leaves, its domain is drained or its job ends. orderSender refuses a start that is decided over 500 ms ago; the engine sends it again.

TestStartsInFlightAreLimited and TestWaitingStartNeedsTheLeaderLease move to drive with the queue; ctrl TestOrdersAreCheckedAsTheyAreSent checks what the sender still does.

--- a/internal/run/ctrl/orders_test.go
+++ b/internal/run/ctrl/orders_test.go
@@ -4,63 +4,43 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"sycamoredeck.example/internal/sched/drive"
 )
 
-// Guards against starts that all reach their time limit, since a busy leader sends more than it can
-// read the answers of, and against polls that wait behind starts.
-func TestStartsInFlightAreLimited(t *testing.T) {
-	var mu sync.Mutex
-	var inFlight, peak int
-	count := func(change int) int {
-		mu.Lock()
-		defer mu.Unlock()
-		inFlight += change
-		peak = max(peak, inFlight)
-		return inFlight
+// Guards against orders that are sent along with those of the next leader, and against starts that
+// are sent long after they were decided.
+func TestOrdersAreCheckedAsTheyAreSent(t *testing.T) {
+	const now = time.Hour
+	cases := []struct {
+		name  string
+		order drive.Order
+		held  bool // the leader lease
+		want  drive.Verdict
+	}{
+		{"start", drive.Order{Kind: drive.Start, SentAt: now}, true, drive.Accepted},
+		{"start without the leader lease", drive.Order{Kind: drive.Start, SentAt: now}, false, drive.NotSent},
+		{"start at the limit", drive.Order{Kind: drive.Start, SentAt: now - maxStartAge}, true, drive.Accepted},
+		{"old start", drive.Order{Kind: drive.Start, SentAt: now - maxStartAge - 1}, true, drive.Outdated},
+		{"old start without the leader lease", drive.Order{Kind: drive.Start, SentAt: 0}, false, drive.NotSent},
+		{"old stop", drive.Order{Kind: drive.Stop, SentAt: 0}, true, drive.Accepted},
+		{"old poll", drive.Order{Kind: drive.Poll, SentAt: 0}, true, drive.Accepted},
+		{"poll without the leader lease", drive.Order{Kind: drive.Poll, SentAt: now}, false, drive.NotSent},
 	}
-	var once sync.Once // starts may reach the limit again after the release
-	reached, release := make(chan struct{}), make(chan struct{})
-	s := newOrderSender(func(_ context.Context, o drive.Order) drive.Answer {
-		if o.Kind != drive.Start {
-			return drive.Answer{Verdict: drive.Accepted}
-		}
-		if count(1) == maxStartsInFlight {
-			once.Do(func() { close(reached) })
-		}
-		<-release
-		count(-1)
-		return drive.Answer{Verdict: drive.Accepted}
-	}, func(uint64) bool { return true })
-	var all sync.WaitGroup
-	for range 3 * maxStartsInFlight {
-		all.Go(func() { assert.Check(t, s.send(drive.Order{Kind: drive.Start}).Verdict == drive.Accepted) })
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			sent := false
+			s := newOrderSender(func(context.Context, drive.Order) drive.Answer {
+				sent = true
+				return drive.Answer{Verdict: drive.Accepted}
+			}, func(uint64) bool { return c.held })
+			s.now = func() time.Duration { return now }
+			assert.Equal(t, s.send(c.order).Verdict, c.want)
+			assert.Equal(t, sent, c.want == drive.Accepted)
+		})
 	}
-	<-reached
-	assert.Equal(t, s.send(drive.Order{Kind: drive.Poll}).Verdict, drive.Accepted)
-	close(release)
-	all.Wait()
-	assert.Assert(t, peak <= maxStartsInFlight, "%d starts in flight", peak)
-}
-
-// Guards against a start that was kept back and is sent along with those of the next leader.
-func TestWaitingStartNeedsTheLeaderLease(t *testing.T) {
-	var held atomic.Bool
-	s := newOrderSender(func(context.Context, drive.Order) drive.Answer {
-		t.Error("the start was sent")
-		return drive.Answer{}
-	}, func(uint64) bool { return held.Load() })
-	held.Store(true)
-	assert.NilError(t, s.starts.Acquire(t.Context(), maxStartsInFlight))
-	answer := make(chan drive.Answer, 1)
-	go func() { answer <- s.send(drive.Order{Kind: drive.Start}) }()
-	held.Store(false)
-	s.starts.Release(maxStartsInFlight)
-	assert.Equal(t, (<-answer).Verdict, drive.NotSent)
 }
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -76,7 +76,11 @@
 	endsPending  bool // completions are being committed
 	dropping     bool
 	backoffUntil time.Duration
-	leavesAt     time.Duration // earliest shutdown of a leaving agent; 0 if unknown
+	// startsInFlight counts its starts in flight, startsWaiting those that wait to be sent;
+	// startUnanswered is set if the latest one to end got no answer.
+	startsInFlight, startsWaiting int
+	startUnanswered               bool
+	leavesAt                      time.Duration // earliest shutdown of a leaving agent; 0 if unknown
 	// leavingSince is when this leader learned from the state that it is leaving; 0 before.
 	leavingSince time.Duration
 	// reportSequence is the sequence number of the latest heartbeat; reported is set once
--- a/internal/sched/drive/engine.go
+++ b/internal/sched/drive/engine.go
@@ -98,6 +98,7 @@
 		// placementDirty indicates that a pass could place something.
 		placementDirty   bool
 		placementPending bool
+		starts           startQueue
 		nextTimedCheck   time.Duration
 		estimates        estimates
 		health           agentHealth
@@ -200,6 +201,8 @@
 	clear(e.estimates.jobs)
 	e.advice, e.advicePending = map[*graph.Stage]*stageAdvice{}, false
 	e.placementPending, e.unreachablePending, e.crashesPending, e.longPolls = false, false, false, 0
+	e.starts = startQueue{}
+	e.updateStartMetrics()
 	e.placementDirty = true
 }
 
@@ -233,8 +236,10 @@
 		e.commitCrashReports()
 		e.saveEstimates()
 		e.checkHealth()
+		e.updateStartMetrics()
 	}
 	e.place()
+	e.sendStarts()
 }
 
 func (e *Engine) holdsLeaderLease() bool {
@@ -299,9 +304,16 @@
 		defer e.sendFirstPolls()
 	}
 	a := e.agents.byID[ans.Order.Agent.Id]
+	if ans.Order.Kind == Start {
+		e.starts.release()
+	}
 	if a == nil {
 		return
 	}
+	if ans.Order.Kind == Start {
+		a.startsInFlight--
+		a.startUnanswered = ans.Verdict == NoAnswer
+	}
 	e.scheduleReconcile(a)
 	if !e.sameIncarnation(a, ans) {
 		ans.Verdict = OtherIncarnation
--- a/internal/sched/drive/explain.go
+++ b/internal/sched/drive/explain.go
@@ -168,6 +168,10 @@
 		x.excluded[dueLimit] = x.agents
 		return x
 	}
+	if p.startRoom(s) <= 0 {
+		x.excluded[startsLimit] = x.agents
+		return x
+	}
 	// Free resources are of the agents that were schedulable when the pass began.
 	considered := map[*agent]bool{}
 	candidates := p.freeByPool[pool]
--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -65,6 +65,15 @@
 			return fmt.Errorf("%d runs are tracked, want %d", len(a.runs), len(registered.Tasks))
 		}
 	}
+	waiting := 0
+	for _, r := range a.runs {
+		if r.startWaiting {
+			waiting++
+		}
+	}
+	if waiting != a.startsWaiting {
+		return fmt.Errorf("%d starts wait, want %d", a.startsWaiting, waiting)
+	}
 	if a.reconcileAt > e.now && !a.dropping && a.synced {
 		for _, r := range a.runs {
 			if r.hasPendingOrder() && a.reconcileAt > e.now+reconcileInterval {
@@ -130,3 +139,6 @@
 
 // LimitJobMemory limits the memory of all jobs.
 func (e *Engine) LimitJobMemory(bytes int64) { e.options.JobMemory = bytes }
+
+// StartsWaiting returns how many starts wait to be sent.
+func (e *Engine) StartsWaiting() int { return len(e.starts.waiting) }
--- a/internal/sched/drive/limits.go
+++ b/internal/sched/drive/limits.go
@@ -38,6 +38,8 @@
 	// notReadyLimit is an agent that hasn't answered this leader or reported its capacity
 	// yet, or has just refused a start.
 	notReadyLimit
+	// startsLimit is too many starts that wait to be sent.
+	startsLimit
 	limitCount
 )
 
@@ -47,6 +49,7 @@
 		reservationLimit: "reservation", interferenceLimit: "interference", evictedLimit: "evicted", labelLimit: "label", spreadLimit: "spread", adviceLimit: "advice",
 		finalAttemptLimit: "final-attempt", quarantineLimit: "quarantine", dueLimit: "due", gangLimit: "gang",
 		unreachableLimit: "unreachable", leavingLimit: "leaving", drainedLimit: "drained", notReadyLimit: "not-ready",
+		startsLimit: "starts",
 	}
 	// stagesLate counts the stages reported by reportLateStages, by limit.
 	stagesLate = [limitCount]*metrics.Counter{
--- a/internal/sched/drive/order.go
+++ b/internal/sched/drive/order.go
@@ -43,6 +43,8 @@
 		CPUPercent int
 		// first marks a poll of an agent that this leader hasn't polled before.
 		first bool
+		// waited is how long before the start its run was placed, or found by this leader.
+		waited time.Duration
 		// SentAt is when the order was sent, on the boot clock.
 		SentAt time.Duration
 	}
@@ -124,6 +126,8 @@
 	// NoConnection: the order was not sent because this process had no free connection.
 	// It says nothing about the agent.
 	NoConnection
+	// Outdated: the order was not sent because it had been decided too long before.
+	Outdated
 )
 
 var kindNames = [...]string{Poll: "hold", Start: "start", Stop: "stop", Throttle: "pace"}
@@ -132,7 +136,7 @@
 	NoAnswer: "no answer", NotSent: "not sent", Accepted: "accepted", RefusedCapacity: "refused: room",
 	RefusedStale: "refused: run is old", RefusedExpired: "refused: late", RefusedFence: "refused: fence", RefusedTicket: "refused: ticket",
 	RefusedOther: "refused", OtherIncarnation: "other incarnation",
-	NoConnection: "no connection",
+	NoConnection: "no connection", Outdated: "outdated",
 }
 
 // String returns the name used in logs.
--- a/internal/sched/drive/overdue.go
+++ b/internal/sched/drive/overdue.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"sycamoredeck.example/internal/schema/wire"
 )
 
 const (
@@ -124,7 +126,8 @@
 }
 
 // formatRun returns TASK#RUN@AGENT, as in the log lines of ends.
-func formatRun(r *run) string {
-	id := r.id()
-	return fmt.Sprintf("%s.%d.%d.%d#%d@%s", id.Job, id.Occurrence, id.Step, id.Index, id.Run, r.agent.record.Id)
+func formatRun(r *run) string { return formatRunOn(r.id(), r.agent) }
+
+func formatRunOn(id *wire.RunId, a *agent) string {
+	return fmt.Sprintf("%s.%d.%d.%d#%d@%s", id.Job, id.Occurrence, id.Step, id.Index, id.Run, a.record.Id)
 }
--- a/internal/sched/drive/place.go
+++ b/internal/sched/drive/place.go
@@ -33,6 +33,8 @@
 		engine     *Engine
 		freeByPool map[string][]*freeResources
 		summaries  map[string]*poolSummary // by pool
+		// startRooms caches the room for further starts, by priority, as of the beginning.
+		startRooms map[uint32]int
 		// tight are the pools in which placement considers fragmentation.
 		tight    map[string]*tightPool
 		wallTime time.Time
@@ -90,7 +92,7 @@
 }
 
 func (e *Engine) newPass(wall time.Time) *pass {
-	p := &pass{engine: e, freeByPool: e.freeResourcesByPool(), summaries: map[string]*poolSummary{}, wallTime: wall, unplaceable: make([]taskSize, len(e.queue.classes))}
+	p := &pass{engine: e, freeByPool: e.freeResourcesByPool(), summaries: map[string]*poolSummary{}, startRooms: map[uint32]int{}, wallTime: wall, unplaceable: make([]taskSize, len(e.queue.classes))}
 	for k, fs := range p.freeByPool {
 		p.summaries[k] = summarize(fs)
 	}
@@ -122,16 +124,16 @@
 		if percent, ok := throttled[p]; ok {
 			r.targetPercent = percent
 		}
-		if e.reasonToStop(r) != "" {
-			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "no longer needed before the start was sent")
-			continue
-		}
-		e.start(r)
+		e.queueStart(r)
 	}
+	e.sendStarts()
 }
 
 func (p *pass) placeStage(r *rankedStage) {
 	s := r.stage
+	if p.startRoom(s) <= 0 {
+		return
+	}
 	if p.knownUnplaceable(r) {
 		return
 	}
@@ -165,6 +167,9 @@
 		if !t.Placeable() {
 			continue
 		}
+		if p.startRoom(s) <= 0 {
+			return true
+		}
 		if s.Standing() && t.Run == 0 && p.engine.enabled(ReserveForOrdinary) && !p.leavesReserve(s) {
 			return true
 		}
--- a/internal/sched/drive/progress.go
+++ b/internal/sched/drive/progress.go
@@ -46,7 +46,6 @@
 		dispatchSeconds.Update(dispatch.Seconds())
 		callSeconds.Update(call.Seconds())
 		answerSeconds.Update(answer.Seconds())
-		e.logStart(r, ans)
 	}
 	s := r.task.Stage
 	p := e.progress[s]
@@ -65,12 +64,12 @@
 
 // reportLateStart reports a start that was sent long after it was decided, or after this
 // leader learned that the agent is leaving.
-func (e *Engine) reportLateStart(r *run, ans Answer) {
+func (e *Engine) reportLateStart(a *agent, ans Answer) {
 	if ans.CalledAt == 0 {
 		return
 	}
 	dispatch, leaving := ans.CalledAt-ans.Order.SentAt, time.Duration(0)
-	if since := r.agent.leavingSince; since != 0 {
+	if since := a.leavingSince; since != 0 {
 		leaving = max(ans.CalledAt-since, 0)
 	}
 	if dispatch <= lateStartAfter && leaving == 0 {
@@ -82,5 +81,5 @@
 	if leaving > 0 {
 		startsAfterLeaving.Inc()
 	}
-	e.logs.lateStarts.add(r, maxRunsListed, fmt.Sprintf("%d/%d", dispatch.Milliseconds(), leaving.Milliseconds()))
+	e.logs.lateStarts.add(formatRunOn(ans.Order.Run, a), maxRunsListed, fmt.Sprintf("%d/%d", dispatch.Milliseconds(), leaving.Milliseconds()))
 }
--- a/internal/sched/drive/resources.go
+++ b/internal/sched/drive/resources.go
@@ -46,6 +46,8 @@
 		// counts the runs that were placed during its trial.
 		health health.State
 		probes int
+		// placed counts the tasks that were placed here in this pass.
+		placed int
 	}
 
 	// latencyTask is a standing task with a latency target on an agent.
@@ -161,6 +163,7 @@
 	f.reserve(t.Stage)
 	f.recordCrashRisk(t, 0)
 	f.probes++
+	f.placed++
 	f.reclaimable -= defaultCPU(t.Stage.Step)
 }
 
@@ -223,6 +226,8 @@
 	switch {
 	case f.health != health.Sound && !f.healthAllows(s):
 		return quarantineLimit
+	case f.agent.startsWaiting+f.placed >= maxAgentStartsWaiting:
+		return startsLimit
 	case f.memoryMB < float64(step.MemoryMb):
 		return memoryLimit
 	case f.accelerators < float64(step.Accelerators):
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -17,7 +17,8 @@
 	phaseUnknown phase = iota
 	// phaseStarting: a start order is in flight.
 	phaseStarting
-	// phaseUnresolved: a start got no answer and may still be executed.
+	// phaseUnresolved: a start is due, for the first time or again. While startsSent and
+	// startsAnswered differ, an earlier one may still be executed.
 	phaseUnresolved
 	// phaseRunning: the agent has confirmed the run.
 	phaseRunning
@@ -52,11 +53,15 @@
 	// While they differ, a start may still be in flight.
 	startsSent, startsAnswered int
 	nextStart                  time.Duration
-	trackedAt                  time.Duration // when this leader began to track it
-	startedAt                  time.Duration // when it was first known to be running
-	closedAt                   time.Duration // when it entered phaseClosed
-	confirmedAt                time.Duration // when the agent last confirmed it
-	firstConfirmedAt           time.Duration // when the agent first confirmed it; 0 before
+	// startWaiting is set while the run is in Engine.starts, with startPriority since startDueAt.
+	startWaiting     bool
+	startPriority    uint32
+	startDueAt       time.Duration
+	trackedAt        time.Duration // when this leader began to track it
+	startedAt        time.Duration // when it was first known to be running
+	closedAt         time.Duration // when it entered phaseClosed
+	confirmedAt      time.Duration // when the agent last confirmed it
+	firstConfirmedAt time.Duration // when the agent first confirmed it; 0 before
 
 	stopReason  string
 	stopPending bool // a stop order is in flight
@@ -154,6 +159,13 @@
 	if !r.agent.synced || r.agent.dropping || r.endPending {
 		return
 	}
+	if r.waitsToStart() {
+		if reason := e.reasonNotToStart(r); reason != "" {
+			r.leaveStarts()
+			e.abandonStart(r, reason)
+			return
+		}
+	}
 	if reason := e.reasonToStop(r); reason != "" {
 		e.reconcileStop(r, reason)
 		// The run uses the CPU until it has stopped, which can take the whole grace
@@ -170,7 +182,7 @@
 			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "agent unreachable before the start was sent")
 		case e.now >= r.nextStart && r.agent.leaseRenewable():
 			// While polls fail as well, another start is unlikely to arrive.
-			e.start(r)
+			e.queueStart(r)
 		}
 	case phaseRunning:
 		e.checkProgress(r)
@@ -197,18 +209,30 @@
 	return id
 }
 
-// start sends the start order, for the first time or again.
-func (e *Engine) start(r *run) {
-	if r.agent.record.Leaving {
-		e.abandonStart(r, "agent is leaving")
-		return
+// reasonNotToStart returns why a run must not be started any more, or "".
+func (e *Engine) reasonNotToStart(r *run) string {
+	if reason := e.reasonToStop(r); reason != "" {
+		return reason
 	}
-	if e.drained(r.agent) {
-		e.abandonStart(r, "failure domain is drained")
-		return
+	// The record of the agent may be older than the state.
+	registered := e.graph.Agent(r.agent.record.Id)
+	switch {
+	case registered == nil || registered.Record.Leaving:
+		return "agent is leaving"
+	case e.drained(r.agent):
+		return "failure domain is drained"
+	case !e.healthAllowsStart(r.agent, r.task):
+		return "agent has failed runs"
+	default:
+		return ""
 	}
-	if !e.healthAllowsStart(r.agent, r.task) {
-		e.abandonStart(r, "agent has failed runs")
+}
+
+// start sends the start order, for the first time or again, unless the run must not be started
+// any more. It is called by sendStarts only.
+func (e *Engine) start(r *run) {
+	if reason := e.reasonNotToStart(r); reason != "" {
+		e.abandonStart(r, reason)
 		return
 	}
 	if !r.agent.leaseRenewable() || !e.capacityKnown(r.agent) {
@@ -240,9 +264,11 @@
 	}
 	r.phase = phaseStarting
 	r.startsSent++
+	r.agent.startsInFlight++
+	e.starts.inFlight++
 	e.send(r.agent, Order{
 		Kind: Start, Run: r.id(), Payload: r.task.Stage.Job.Spec.Payload,
-		Checkpoint: r.task.Checkpoint, Deadline: deadline, Ticket: ticket,
+		Checkpoint: r.task.Checkpoint, Deadline: deadline, Ticket: ticket, waited: e.now - r.trackedAt,
 	})
 }
 
@@ -267,6 +293,8 @@
 }
 
 func (e *Engine) handleStartAnswer(a *agent, ans Answer) {
+	e.logStart(a, ans)
+	e.reportLateStart(a, ans)
 	r := e.findRun(a, ans.Order.Run)
 	if r == nil {
 		return
@@ -274,7 +302,6 @@
 	if ans.Verdict != NoAnswer {
 		r.startsAnswered++
 	}
-	e.reportLateStart(r, ans)
 	if r.phase == phaseRunning || r.phase == phaseClosed || r.endPending {
 		return
 	}
@@ -289,7 +316,7 @@
 		r.confirm(e.now)
 		a.nextPoll = e.now // to learn of its completion
 		e.recordStarted(r, ans)
-	case NoAnswer, RefusedExpired, RefusedFence, NoConnection:
+	case NoAnswer, RefusedExpired, RefusedFence, NoConnection, Outdated:
 		r.phase, r.nextStart = phaseUnresolved, e.now+startRetryInterval
 	case RefusedStale:
 		r.phase, r.closedAt = phaseClosed, e.now
@@ -353,7 +380,7 @@
 			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "start of an earlier leader never arrived")
 			return
 		}
-		e.start(r)
+		e.queueStart(r)
 	case phaseClosed:
 		if polledAt >= r.closedAt {
 			e.resolve(r, wire.RunOutcome_RUN_OUTCOME_NOT_STARTED, "closed and missing from agent report")
--- a/internal/sched/drive/runlog.go
+++ b/internal/sched/drive/runlog.go
@@ -27,7 +27,7 @@
 )
 
 // add adds a run, with a suffix, unless limit runs are listed already.
-func (l *runLog) add(r *run, limit int, suffix string) {
+func (l *runLog) add(run string, limit int, suffix string) {
 	l.count++
 	if l.count > limit {
 		return
@@ -35,24 +35,29 @@
 	if l.text.Len() > 0 {
 		l.text.WriteByte(' ')
 	}
-	l.text.WriteString(formatRun(r))
+	l.text.WriteString(run)
 	l.text.WriteByte('=')
 	l.text.WriteString(suffix)
 }
 
 // logStop records a stop that is sent.
 func (e *Engine) logStop(r *run, reason string) {
-	e.logs.stops.add(r, maxRunsListed, strings.ReplaceAll(reason, " ", "-"))
+	e.logs.stops.add(formatRun(r), maxRunsListed, strings.ReplaceAll(reason, " ", "-"))
 }
 
-// logStart records a confirmed start, with how long it took in milliseconds: from the commit
-// of the placement to the decision to send it, from there to the call, and the call.
-func (e *Engine) logStart(r *run, ans Answer) {
+// logStart records a start that was executed, with how long it took in milliseconds: from the
+// commit of the placement to the decision to send it, from there to the call, and the call. The
+// run may have ended before the answer.
+func (e *Engine) logStart(a *agent, ans Answer) {
+	if ans.Verdict != Accepted || ans.CalledAt == 0 {
+		return
+	}
 	if e.logs.starts.count == maxStartsListed {
 		e.flushStarts()
 	}
-	decided, dispatch, call := ans.Order.SentAt-r.trackedAt, ans.CalledAt-ans.Order.SentAt, ans.ReturnedAt-ans.CalledAt
-	e.logs.starts.add(r, maxStartsListed, fmt.Sprintf("%d/%d/%d", decided.Milliseconds(), dispatch.Milliseconds(), call.Milliseconds()))
+	o := ans.Order
+	e.logs.starts.add(formatRunOn(o.Run, a), maxStartsListed,
+		fmt.Sprintf("%d/%d/%d", o.waited.Milliseconds(), (ans.CalledAt-o.SentAt).Milliseconds(), (ans.ReturnedAt-ans.CalledAt).Milliseconds()))
 }
 
 func (e *Engine) flushStarts() {
--- a/internal/sched/drive/sim_test.go
+++ b/internal/sched/drive/sim_test.go
@@ -104,6 +104,14 @@
 		faultsEnded        bool
 		faultsEndedAt      time.Duration
 
+		// startDelayOf returns how long an agent takes to answer a start that it has executed; nil
+		// means no time.
+		startDelayOf func(*modelAgent) time.Duration
+		// startsInFlight counts the unanswered starts by address, peakStarts and peakAgentStarts
+		// are the most in all and of one agent.
+		startsInFlight              map[string]int
+		peakStarts, peakAgentStarts int
+
 		// tailLatencyOf returns the tail latency of a standing run in milliseconds.
 		tailLatencyOf func(*modelAgent, *modelRun) int
 
@@ -164,7 +172,7 @@
 	s := &sim{
 		random: rand.New(rand.NewPCG(seed, 11)), faults: f, guarded: guarded, graph: graph.New(),
 		agents: map[string]*modelAgent{}, steps: map[string]*wire.Step{}, doneAcked: map[string]bool{},
-		drainedAt:    map[string]time.Duration{},
+		drainedAt: map[string]time.Duration{}, startsInFlight: map[string]int{},
 		crashedFor:   3 * time.Second,
 		crashingJobs: map[string]time.Duration{}, crashes: map[string]int{}, causedCrashes: map[string]int{}, otherCrashes: f.restart+f.crash+f.partition > 0, failedRuns: map[string]int{}, refusingAddresses: map[string]bool{}, logger: slog.New(slog.NewTextHandler(io.Discard, nil)),
 		failures: map[string]int{}, issuedTickets: map[string]time.Duration{}, cancelled: map[string]time.Duration{}, completed: map[string]bool{},
@@ -323,11 +331,13 @@
 	}
 	s.checkHealth(order)
 	s.connectionsInUse++
+	s.countStart(order, 1)
 	answered := false
 	answer := func(a drive.Answer) {
 		if !answered {
 			answered = true
 			s.connectionsInUse--
+			s.countStart(order, -1)
 			engine.HandleAnswer(s.now, a)
 		}
 	}
@@ -351,7 +361,11 @@
 			}
 		}
 		a := agent.handle(order)
-		if !agent.isUnreachable() {
+		switch {
+		case agent.isUnreachable():
+		case order.Kind == drive.Start && s.startDelayOf != nil:
+			s.after(s.startDelayOf(agent), func() { reply(a) })
+		default:
 			reply(a)
 		}
 	}
@@ -366,6 +380,20 @@
 	}
 }
 
+// countStart counts the starts in flight.
+func (s *sim) countStart(order drive.Order, change int) {
+	if order.Kind != drive.Start {
+		return
+	}
+	address, all := order.Agent.Address, 0
+	s.startsInFlight[address] += change
+	for _, n := range s.startsInFlight {
+		all += n
+	}
+	s.peakStarts = max(s.peakStarts, all)
+	s.peakAgentStarts = max(s.peakAgentStarts, s.startsInFlight[address])
+}
+
 // endFaults ends all faults, also those in effect.
 func (s *sim) endFaults() {
 	s.faultsEnded, s.faultsEndedAt, s.faults = true, s.now, faults{disabled: s.faults.disabled, enabled: s.faults.enabled}
--- a/internal/sched/drive/sync.go
+++ b/internal/sched/drive/sync.go
@@ -116,6 +116,7 @@
 	if e.runs[r.task] != r {
 		return
 	}
+	r.leaveStarts()
 	delete(e.runs, r.task)
 	delete(e.endedJobRuns, r)
 	r.agent.removeRun(r)
@@ -176,7 +177,7 @@
 
 func (r *run) hasPendingOrder() bool {
 	switch {
-	case r.endPending:
+	case r.endPending || r.waitsToStart():
 		return false
 	case r.phase == phaseUnresolved || r.stopReason != "" || r.task.Done || r.task.Stage.Job.Ended():
 		return true
