A heartbeat is acknowledged only once its content is committed

What callers saw: nothing that is shown to come from this.

Cause: HandleReport acknowledged a heartbeat that a later one had overtaken, though the later one may still be waiting for its commit, or have failed; and one whose address or pool differ from the registered ones, which changes nothing.

Change: the engine keeps the sequence number up to which heartbeats are in the state.

--- a/internal/run/ctrl/report.go
+++ b/internal/run/ctrl/report.go
@@ -80,6 +80,8 @@
 			err = node.ErrNotLeader
 		case errors.Is(err, drive.ErrTooManyAgents):
 			return nil, uplink.Refused(err.Error(), registrationRetryDelay)
+		case errors.Is(err, drive.ErrNotRecorded):
+			return nil, status.Error(codes.Unavailable, notExecuted+err.Error())
 		}
 		if err != nil {
 			return nil, statusError(err)
--- a/internal/sched/drive/agent.go
+++ b/internal/sched/drive/agent.go
@@ -83,9 +83,11 @@
 	leavesAt                      time.Duration // earliest shutdown of a leaving agent; 0 if unknown
 	// leavingSince is when this leader learned from the state that it is leaving; 0 before.
 	leavingSince time.Duration
-	// reportSequence is the sequence number of the latest heartbeat; reported is set once
-	// this leader has received one.
+	// reportSequence is the sequence number of the latest heartbeat, committedSequence that of
+	// the latest one whose content is in the state; reported is set once this leader has
+	// received one.
 	reportSequence      uint64
+	committedSequence   uint64
 	reported            bool
 	hasLatencyTargets   bool // it has a run with a latency target
 	throttleChangedAt   time.Duration
--- a/internal/sched/drive/report.go
+++ b/internal/sched/drive/report.go
@@ -13,8 +13,13 @@
 	"sycamoredeck.example/internal/store/state"
 )
 
-// ErrNotLeader rejects a heartbeat that has to be sent to the leader.
-var ErrNotLeader = errors.New("drive: this replica doesn't lead")
+var (
+	// ErrNotLeader rejects a heartbeat that has to be sent to the leader.
+	ErrNotLeader = errors.New("drive: this replica doesn't lead")
+	// ErrNotRecorded rejects a heartbeat that can't be acknowledged, as neither its content nor
+	// that of a later one is committed. The agent has to send another one.
+	ErrNotRecorded = errors.New("drive: the heartbeat isn't recorded")
+)
 
 // HandleReport processes a heartbeat. It calls done once the content is committed, or at
 // once if it is already. An agent's announcement that it leaves is thus acknowledged only
@@ -42,15 +47,13 @@
 	registered := e.graph.Agent(record.Id)
 	if !e.registrable(registered, record) {
 		reportsIgnored.Inc()
-		done(nil)
+		done(ignored(registered, record))
 		return
 	}
 	a := e.agents.byID[record.Id]
 	if a != nil {
 		if report.Sequence != 0 && report.Sequence < a.reportSequence {
-			e.options.Logger.Info("overtaken heartbeat acknowledged", "agent", record.Id, "leaving", record.Leaving, "leaving_committed", a.record.Leaving,
-				"sequence", report.Sequence, "latest", a.reportSequence)
-			done(nil)
+			done(e.overtaken(a, report.Sequence))
 			return
 		}
 		a.reportSequence = max(a.reportSequence, report.Sequence)
@@ -59,7 +62,7 @@
 		}
 	}
 	if registered != nil && sameAgent(registered.Record, record) {
-		e.markReported(record.Id)
+		e.markReported(record.Id, report.Sequence)
 		done(nil)
 		return
 	}
@@ -73,7 +76,7 @@
 		"failure_domain", record.FailureDomain, "leaving", record.Leaving, "incarnation", record.Incarnation, "new", registered == nil)
 	e.commitReport(&wire.WorkCommand{Body: &wire.WorkCommand_PutAgent{PutAgent: record}}, func(err error) {
 		if err == nil {
-			e.markReported(record.Id)
+			e.markReported(record.Id, report.Sequence)
 		}
 		if record.Leaving {
 			e.options.Logger.Info("leaving of an agent answered", "agent", record.Id, "sequence", report.Sequence, "took_ms", (e.now - now).Milliseconds(), "error", err)
@@ -95,10 +98,29 @@
 }
 
 // markReported records that the state includes a heartbeat received by this leader.
-func (e *Engine) markReported(id string) {
+func (e *Engine) markReported(id string, sequence uint64) {
 	if a := e.agents.byID[id]; a != nil {
 		a.reported = true
+		a.committedSequence = max(a.committedSequence, sequence)
+	}
+}
+
+// overtaken returns the answer to a heartbeat that arrives after a later one.
+func (e *Engine) overtaken(a *agent, sequence uint64) error {
+	if a.committedSequence > sequence {
+		return nil
+	}
+	e.options.Logger.Info("overtaken heartbeat refused", "agent", a.record.Id, "sequence", sequence, "latest", a.reportSequence, "committed", a.committedSequence)
+	return ErrNotRecorded
+}
+
+// ignored returns the answer to a heartbeat that changes nothing. An agent must not take its
+// leaving as known while tasks may still be placed on it.
+func ignored(registered *graph.Agent, reported *wire.Agent) error {
+	if registered != nil && reported.Leaving && !registered.Record.Leaving {
+		return ErrNotRecorded
 	}
+	return nil
 }
 
 // IsRedundant reports whether a heartbeat adds nothing to the replicated state of this
--- a/internal/sched/drive/report_test.go
+++ b/internal/sched/drive/report_test.go
@@ -39,3 +39,42 @@
 		t.Run(c.name, func(t *testing.T) { assert.Equal(t, s.engine.IsRedundant(c.report), c.redundant) })
 	}
 }
+
+// Guards against a heartbeat that is acknowledged though neither its content nor that of a later one
+// is committed: the agent takes its leaving as known, and gets further tasks.
+func TestHeartbeatIsAcknowledgedOnceCommitted(t *testing.T) {
+	cases := []struct {
+		name string
+		// change prepares what becomes of the later heartbeat, and changes the earlier one.
+		change    func(*sim, *wire.Agent)
+		committed bool
+	}{
+		{"overtaken by one that is committed", func(*sim, *wire.Agent) {}, true},
+		{"overtaken by one that fails", func(s *sim, _ *wire.Agent) { s.proposalsFail = true }, false},
+		{"from another address", func(_ *sim, a *wire.Agent) { a.Address = "10.0.0.9:1" }, false},
+		{"of another pool", func(_ *sim, a *wire.Agent) { a.Pool = "other" }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(1, 1, true, faults{})
+			s.run(2*time.Second, 0)
+			later := proto.Clone(s.agents["10.0.0.0:1"].record).(*wire.Agent)
+			later.Leaving = true
+			earlier := proto.Clone(later).(*wire.Agent)
+			c.change(s, earlier)
+			leaves := func() bool { return s.graph.Agent(later.Id).Record.Leaving }
+			report := func(a *wire.Agent, sequence uint64) {
+				s.engine.HandleReport(s.now, &wire.ReportAgentRequest{Agent: a, Sequence: sequence}, func(err error) {
+					assert.Check(t, err != nil || leaves(), "acknowledged before it is committed")
+				})
+			}
+			if earlier.Address == later.Address && earlier.Pool == later.Pool {
+				report(later, 1000)
+			}
+			report(earlier, 999)
+			s.run(3*simTick, 0)
+			assert.Equal(t, leaves(), c.committed)
+			report(earlier, 999)
+		})
+	}
+}
