A submission that ends without a job gives back its memory

Cause: an invalid command isn't proposed, so commitConfirmed called admission before it looked at the command's error, and Engine.Admit counted the job for submissionMemory. Nothing gave back what was counted for a submission that ended otherwise: invalid, failed, refused by the state, a read that wasn't confirmed. The class: something is taken before it is known whether the request is valid, and nothing gives it back when the request ends otherwise.

Change: a job is counted where it is proposed, after its queue, its command and the leader lease are known to be good. Admit returns how to end the submission; node.CommitFrom calls it when the proposal ends, on the event loop, also if the caller has left. The memory is given back unless the job is applied or may be in the log, and only once all submissions of that id have ended.

Seen by: sycamoredeck_job_memory_bytes by part, and the line 'jobs refused for memory', at most one in 10 s, in place of one at debug level for each.

--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -213,7 +213,7 @@
 			return nil, err
 		}
 		return &wire.WorkCommand{Body: &wire.WorkCommand_Submit{Submit: &wire.SubmitWork{Job: j.id, Queue: j.queue, Spec: r.Spec}}}, nil
-	}, func(j jobName, term uint64, leased bool) *admit.Refusal {
+	}, func(j jobName, term uint64, leased bool) (func(bool), *admit.Refusal) {
 		return s.engine.Admit(drive.Submission{Queue: j.queue, Job: j.id, Spec: r.Spec, Term: term, Leased: leased})
 	})
 	if err != nil {
@@ -233,6 +233,9 @@
 	return response, nil
 }
 
+// admission decides about a job as its command is proposed; see Engine.Admit.
+type admission func(j jobName, term uint64, leased bool) (ended func(mayBeInLog bool), refusal *admit.Refusal)
+
 // commitForJob commits a command for the job that a target names. The result's error is
 // graph.ErrUnknownQueue if the target names no queue, that of command, or the refusal of
 // admission. admission may be nil.
@@ -241,35 +244,28 @@
 // turn of the event loop that a job waits for delays its start. Otherwise, and before it
 // reports an unknown queue or an invalid command, it confirms its leadership first. Without a valid lease every job is
 // admitted, since the next leader may know of another submission with its id.
-func (s *workService) commitForJob(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error), admission func(j jobName, term uint64, leased bool) *admit.Refusal) (jobName, state.Result, error) {
+func (s *workService) commitForJob(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error), admission admission) (jobName, state.Result, error) {
 	if err := s.checkReady(); err != nil {
 		return jobName{}, state.Result{}, err
 	}
 	proposed := make(chan jobName, 1)
 	refused := make(chan *admit.Refusal, 1)
-	result, err := s.node.CommitFrom(ctx, func() *wire.Command {
+	result, err := s.node.CommitFrom(ctx, func() (*wire.Command, func(error)) {
 		job, known := s.matchJob(target)
-		if !known {
-			return nil
+		if !known || !s.node.HoldsLeaderLease(s.node.Core().Status().Term) {
+			return nil, nil
 		}
 		c, err := command(job)
 		if err != nil {
-			return nil
-		}
-		term := s.node.Core().Status().Term
-		leased := s.node.HoldsLeaderLease(term)
-		if admission != nil {
-			if r := admission(job, term, leased); r != nil {
-				proposed <- job
-				refused <- r
-				return nil
-			}
-		}
-		if !leased {
-			return nil
+			return nil, nil
 		}
 		proposed <- job
-		return &wire.Command{Body: &wire.Command_Work{Work: c}}
+		ended, refusal := s.admit(admission, job, true)
+		if refusal != nil {
+			refused <- refusal
+			return nil, nil
+		}
+		return &wire.Command{Body: &wire.Command_Work{Work: c}}, ended
 	})
 	if errors.Is(err, node.ErrNothingProposed) {
 		select {
@@ -289,14 +285,9 @@
 
 // commitConfirmed is commitForJob after a linearizable read. It admits every job, and records
 // that with admission.
-func (s *workService) commitConfirmed(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error), admission func(j jobName, term uint64, leased bool) *admit.Refusal) (job jobName, result state.Result, err error) {
+func (s *workService) commitConfirmed(ctx context.Context, target *wire.WorkTarget, command func(jobName) (*wire.WorkCommand, error), admission admission) (job jobName, result state.Result, err error) {
 	known := false
-	match := func() {
-		if job, known = s.matchJob(target); known && admission != nil {
-			admission(job, s.node.Core().Status().Term, false)
-		}
-	}
-	if err := s.read(ctx, match); err != nil {
+	if err := s.read(ctx, func() { job, known = s.matchJob(target) }); err != nil {
 		return jobName{}, result, err
 	}
 	if !known {
@@ -306,8 +297,24 @@
 	if err != nil {
 		return job, state.Result{Err: err}, nil
 	}
-	result, err = s.commit(ctx, c)
-	return job, result, err
+	result, err = s.node.CommitFrom(ctx, func() (*wire.Command, func(error)) {
+		ended, _ := s.admit(admission, job, false)
+		return &wire.Command{Body: &wire.Command_Work{Work: c}}, ended
+	})
+	return job, result, statusError(err)
+}
+
+// admit calls admission, which may be nil, and returns what to call with the error of the
+// proposal. It is called on the event loop.
+func (s *workService) admit(admission admission, job jobName, leased bool) (func(error), *admit.Refusal) {
+	if admission == nil {
+		return nil, nil
+	}
+	ended, refusal := admission(job, s.node.Core().Status().Term, leased)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return func(err error) { ended(err == nil || errors.Is(err, node.ErrUncertain)) }, nil
 }
 
 // matchJob returns the job that a target names, or false if it names no queue. It is
--- a/internal/sched/drive/admission.go
+++ b/internal/sched/drive/admission.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -22,8 +23,19 @@
 	submissionMemory = time.Minute
 	// memoryMaxAge is how long the estimate of what all jobs take is used.
 	memoryMaxAge = time.Second
+	// memoryLogInterval is the least time between two log lines about refusals for memory.
+	memoryLogInterval = 10 * time.Second
 )
 
+// knownJobBytes and submittedJobBytes are what jobs take at this leader by estimate, as of the
+// latest submission: jobs that are known, and submissions that may come to be.
+var knownJobBytes, submittedJobBytes atomic.Int64
+
+func init() {
+	metrics.NewGauge(`sycamoredeck_job_memory_bytes{part="known"}`, func() float64 { return float64(knownJobBytes.Load()) })
+	metrics.NewGauge(`sycamoredeck_job_memory_bytes{part="submitted"}`, func() float64 { return float64(submittedJobBytes.Load()) })
+}
+
 // jobsRefused counts refused jobs by reason.
 var jobsRefused = map[admit.Reason]*metrics.Counter{
 	admit.NoAgent: metrics.NewCounter(`sycamoredeck_jobs_refused_total{reason="no_agent"}`),
@@ -37,12 +49,13 @@
 	admission struct {
 		term uint64
 		// accepted holds the ids of the jobs that may be in the log.
-		accepted    map[string]acceptedJob
+		accepted    map[string]*acceptedJob
 		nextCleanup time.Duration
-		// memory estimates what all jobs take: those that were known at measuredAt, and
-		// those accepted since.
-		memory     int64
-		measuredAt time.Duration
+		// known and submitted estimate what jobs take: those that were known at measuredAt,
+		// and those that weren't known then or were accepted since.
+		known, submitted int64
+		measuredAt       time.Duration
+		nextMemoryLog    time.Duration
 		// drained is the work that ended, and waiting the work that waits and can still be
 		// of worth, in millicores times milliseconds of declared time. running is the
 		// requested CPU of all runs but standing ones, in millicores.
@@ -52,10 +65,13 @@
 		summedAt time.Duration // waiting and running
 	}
 
-	// acceptedJob is when a job was accepted, and its estimated size in bytes.
+	// acceptedJob is a job that may be in the log without being known yet.
 	acceptedJob struct {
-		at   time.Duration
-		size int64
+		at      time.Duration
+		size    int64 // estimate in bytes
+		pending int   // submissions that haven't ended
+		// mayBeInLog is set once one of them has ended so that the job may be in the log.
+		mayBeInLog bool
 	}
 
 	// workKind identifies work that competes for the same CPU.
@@ -79,34 +95,59 @@
 	Leased bool
 }
 
-// Admit decides whether a job is accepted. It returns nil if so. It must be called on the
-// event loop where the job is proposed.
+// Admit decides whether a job is accepted. It must be called on the event loop, for a job that is
+// proposed right afterwards if it isn't refused, and no other: it is counted until it is known.
+// Ended must be called once the proposal has ended, and gives back what the job was counted with,
+// unless it may be in the log.
 //
 // The id of a job that exists, or that was accepted in this term and may still be in the
 // log, is always accepted: the caller may not have received the answer. Without the lease
 // every job is accepted, since another leader may have accepted it before.
-func (e *Engine) Admit(s Submission) *admit.Refusal {
+func (e *Engine) Admit(s Submission) (ended func(mayBeInLog bool), refusal *admit.Refusal) {
 	if e.graph.Job(s.Job) != nil {
-		return nil
+		return func(bool) {}, nil
 	}
 	a := e.admissionOf(s.Term)
-	if _, accepted := a.accepted[s.Job]; accepted {
-		return nil
+	ended = func(mayBeInLog bool) { e.endSubmission(s, mayBeInLog) }
+	if j := a.accepted[s.Job]; j != nil {
+		j.pending++
+		return ended, nil
 	}
 	size := graph.SpecBytes(s.Spec)
 	if s.Leased && e.term == s.Term {
 		if r := e.refusalByMemory(a, s, size); r != nil {
-			return r
+			return nil, r
 		}
 		if e.enabled(JobAdmission) {
 			if r := e.refusal(a, s.Queue, s.Job, s.Spec); r != nil {
-				return r
+				return nil, r
 			}
 		}
 	}
-	a.accepted[s.Job] = acceptedJob{e.now, size}
-	a.memory += size
-	return nil
+	a.accepted[s.Job] = &acceptedJob{at: e.now, size: size, pending: 1}
+	a.addSubmitted(size)
+	return ended, nil
+}
+
+// endSubmission ends a submission that was counted.
+func (e *Engine) endSubmission(s Submission, mayBeInLog bool) {
+	a := &e.admission
+	j := a.accepted[s.Job]
+	if a.term != s.Term || j == nil {
+		return // a new term counts anew, and jobs aren't remembered for ever
+	}
+	j.pending--
+	j.mayBeInLog = j.mayBeInLog || mayBeInLog
+	if j.pending == 0 && !j.mayBeInLog {
+		delete(a.accepted, s.Job)
+		a.addSubmitted(-j.size)
+	}
+}
+
+func (a *admission) addSubmitted(bytes int64) {
+	a.submitted += bytes
+	knownJobBytes.Store(a.known)
+	submittedJobBytes.Store(a.submitted)
 }
 
 // CheckSize returns an error if a job takes more memory than any job may.
@@ -123,19 +164,23 @@
 		return nil
 	}
 	if a.measuredAt == 0 || e.now-a.measuredAt >= memoryMaxAge {
-		a.memory, a.measuredAt = e.graph.JobBytes(), e.now
+		a.known, a.submitted, a.measuredAt = e.graph.JobBytes(), 0, e.now
 		for id, j := range a.accepted {
 			if e.graph.Job(id) == nil && e.now-j.at < submissionMemory {
-				a.memory += j.size
+				a.submitted += j.size
 			}
 		}
 	}
-	d := admit.DecideByMemory(size, a.memory, e.options.JobMemory)
+	d := admit.DecideByMemory(size, a.known+a.submitted, e.options.JobMemory)
 	if d.Reason == admit.Accepted {
 		return nil
 	}
 	jobsRefused[d.Reason].Inc()
-	e.options.Logger.Debug("job refused", "job", s.Job, "queue", s.Queue, "reason", d.Reason.String(), "bytes", size, "taken", a.memory, "limit", e.options.JobMemory)
+	if e.now >= a.nextMemoryLog {
+		a.nextMemoryLog = e.now + memoryLogInterval
+		e.options.Logger.Warn("jobs refused for memory", "job", s.Job, "queue", s.Queue, "bytes", size, "known_bytes", a.known, "submitted_bytes", a.submitted,
+			"submissions", len(a.accepted), "limit", e.options.JobMemory)
+	}
 	return &admit.Refusal{Decision: d}
 }
 
@@ -143,7 +188,7 @@
 func (e *Engine) admissionOf(term uint64) *admission {
 	a := &e.admission
 	if a.term != term || a.accepted == nil {
-		*a = admission{term: term, accepted: map[string]acceptedJob{}, drained: map[workKind]*admit.Rate{}}
+		*a = admission{term: term, accepted: map[string]*acceptedJob{}, drained: map[workKind]*admit.Rate{}}
 	}
 	if e.now >= a.nextCleanup {
 		a.nextCleanup = e.now + submissionMemory/10
--- a/internal/sched/drive/admission_test.go
+++ b/internal/sched/drive/admission_test.go
@@ -25,9 +25,10 @@
 
 // admitted asks the leader whether it accepts the job with a number.
 func (s *sim) admitted(number int, leased bool, step *wire.Step) bool {
-	return s.engine.Admit(drive.Submission{
+	_, refusal := s.engine.Admit(drive.Submission{
 		Queue: "q", Job: jobID(number), Spec: &wire.WorkSpec{Steps: []*wire.Step{step}}, Term: s.term, Leased: leased,
-	}) == nil
+	})
+	return refusal == nil
 }
 
 // replayResult counts the jobs of replays; those in time are accepted ones that ended by their
--- a/internal/sched/drive/memory_test.go
+++ b/internal/sched/drive/memory_test.go
@@ -21,6 +21,12 @@
 
 // submission asks the leader about a job of a number of tasks.
 func (s *sim) submission(number int, tasks uint32) *admit.Refusal {
+	_, refusal := s.submissionThatEnds(number, tasks)
+	return refusal
+}
+
+// submissionThatEnds does the same, and returns how to end the submission.
+func (s *sim) submissionThatEnds(number int, tasks uint32) (ended func(mayBeInLog bool), refusal *admit.Refusal) {
 	return s.engine.Admit(drive.Submission{
 		Queue: "q", Job: jobID(number), Spec: &wire.WorkSpec{Steps: []*wire.Step{{Count: tasks, CpuMillis: 1}}}, Term: s.term, Leased: true,
 	})
@@ -59,7 +65,58 @@
 	assert.Assert(t, s.submission(1000, 10000) == nil)
 	s.submitJob(&wire.Step{Count: 10000, CpuMillis: 1 << 30})
 	s.run(time.Second, 0)
-	assert.Assert(t, s.engine.Admit(drive.Submission{Queue: "q", Job: s.jobs[0], Spec: &wire.WorkSpec{}, Term: s.term, Leased: true}) == nil)
+	_, refusal := s.engine.Admit(drive.Submission{Queue: "q", Job: s.jobs[0], Spec: &wire.WorkSpec{}, Term: s.term, Leased: true})
+	assert.Assert(t, refusal == nil)
+}
+
+// Guards against submissions that end without a job and keep its memory, and against giving it
+// back while the job may be in the log.
+func TestEndedSubmissionsGiveMemoryBack(t *testing.T) {
+	const tasks = 5000 // nearly half of what large jobs may take together
+	cases := []struct {
+		name string
+		ends []bool // whether the job may be in the log, of each submission with its id
+		held bool   // the memory
+	}{
+		{"not proposed, or failed", []bool{false}, false},
+		{"may be in the log", []bool{true}, true},
+		{"sent again and failed", []bool{false, false}, false},
+		{"sent again, one may be in the log", []bool{true, false}, true},
+		{"sent again, the later one may be in the log", []bool{false, true}, true},
+		{"hasn't ended", nil, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newSim(1, 4, true, faults{})
+			s.engine.LimitJobMemory(testJobMemory)
+			s.run(2*time.Second, 0)
+			var ends []func(bool)
+			for range max(len(c.ends), 1) {
+				ended, refusal := s.submissionThatEnds(1000, tasks)
+				assert.Assert(t, refusal == nil)
+				ends = append(ends, ended)
+			}
+			for i, mayBeInLog := range c.ends {
+				ends[i](mayBeInLog)
+			}
+			assert.Assert(t, s.submission(1001, tasks) == nil)
+			assert.Equal(t, s.submission(1002, tasks) != nil, c.held)
+			s.run(2*time.Second, 0) // until it is measured again
+			assert.Equal(t, s.submission(1003, tasks) != nil, true)
+		})
+	}
+	t.Run("of an earlier term", func(t *testing.T) {
+		s := newSim(1, 4, true, faults{})
+		s.engine.LimitJobMemory(testJobMemory)
+		s.run(2*time.Second, 0)
+		ended, _ := s.submissionThatEnds(1000, tasks)
+		s.term++
+		_, refusal := s.submissionThatEnds(1000, tasks)
+		assert.Assert(t, refusal == nil)
+		ended(false)
+		s.term--
+		assert.Assert(t, s.submission(1001, tasks) == nil)
+	})
 }
 
 // Guards against memory that stays taken after jobs have ended.
--- a/internal/store/node/node.go
+++ b/internal/store/node/node.go
@@ -10,6 +10,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -334,12 +335,14 @@
 // Commit proposes a command and waits until it is applied. It must not be called on the
 // event loop.
 func (n *Node) Commit(ctx context.Context, command *wire.Command) (state.Result, error) {
-	return n.CommitFrom(ctx, func() *wire.Command { return command })
+	return n.CommitFrom(ctx, func() (*wire.Command, func(error)) { return command, nil })
 }
 
 // CommitFrom is like Commit for a command that build derives from the state, on the event
-// loop. It returns ErrNothingProposed if build returns nil.
-func (n *Node) CommitFrom(ctx context.Context, build func() *wire.Command) (state.Result, error) {
+// loop. It returns ErrNothingProposed if build returns nil. The second result of build may be
+// nil; it is called on the event loop when the proposal ends, with its error or that of the
+// applied command, also if the caller has left by then.
+func (n *Node) CommitFrom(ctx context.Context, build func() (*wire.Command, func(error))) (state.Result, error) {
 	type outcome struct {
 		result state.Result
 		err    error
@@ -351,12 +354,17 @@
 			done(state.Result{}, ErrUncertain) // the caller may have submitted it again since
 			return
 		}
-		command := build()
+		command, ended := build()
 		if command == nil {
 			done(state.Result{}, ErrNothingProposed)
 			return
 		}
-		n.Propose(command, done)
+		n.Propose(command, func(r state.Result, err error) {
+			if ended != nil {
+				ended(cmp.Or(err, r.Err))
+			}
+			done(r, err)
+		})
 	}
 	if !n.Post(propose) {
 		return state.Result{}, ErrStopped
--- a/internal/store/node/node_test.go
+++ b/internal/store/node/node_test.go
@@ -276,9 +276,9 @@
 // Guards against a command that is proposed though the state at its proposal forbids it.
 func TestCommitFrom(t *testing.T) {
 	r := start(t, t.TempDir(), walog.Options{})
-	_, err := r.node.CommitFrom(t.Context(), func() *wire.Command { return nil })
+	_, err := r.node.CommitFrom(t.Context(), func() (*wire.Command, func(error)) { return nil, nil })
 	assert.ErrorIs(t, err, node.ErrNothingProposed)
-	_, err = r.node.CommitFrom(t.Context(), func() *wire.Command { return openDispatchCommand(1) })
+	_, err = r.node.CommitFrom(t.Context(), func() (*wire.Command, func(error)) { return openDispatchCommand(1), nil })
 	assert.NilError(t, err)
 	assert.Assert(t, r.hasDispatch(t, 1))
 	r.stop(t)
@@ -290,7 +290,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	built := false
-	_, err := r.node.CommitFrom(ctx, func() *wire.Command { built = true; return openDispatchCommand(1) })
+	_, err := r.node.CommitFrom(ctx, func() (*wire.Command, func(error)) { built = true; return openDispatchCommand(1), nil })
 	assert.ErrorIs(t, err, node.ErrUncertain)
 	assert.NilError(t, r.node.Do(t.Context(), func() {}))
 	assert.Assert(t, !built)
