A run waits for its start at most once

By reading, before it was seen: a run that left the queue of starts and came back before the next pass over it was listed twice, and with another priority the order of the queue, on which its search relies, was wrong. Runs are removed at once; the simulation checks the order.

--- a/internal/sched/drive/dispatch.go
+++ b/internal/sched/drive/dispatch.go
@@ -62,6 +62,14 @@
 	q.changed = true
 }
 
+// remove removes a run if it waits.
+func (q *startQueue) remove(r *run) {
+	if r.startWaiting {
+		r.leaveStarts()
+		q.waiting = slices.DeleteFunc(q.waiting, func(o *run) bool { return o == r })
+	}
+}
+
 // endOf returns the position behind the runs of a priority.
 func (q *startQueue) endOf(priority uint32) int {
 	return sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].startPriority > priority })
@@ -107,7 +115,8 @@
 	}
 	q.changed = false
 	for begin, end := 0, 0; begin < len(q.waiting) && q.inFlight < maxStartsInFlight; begin = end {
-		end = q.endOf(q.waiting[begin].startPriority)
+		for end = begin + 1; end < len(q.waiting) && q.waiting[end].startPriority == q.waiting[begin].startPriority; end++ {
+		}
 		for limit := 1; limit <= maxAgentStarts; limit++ {
 			e.sendStartsOf(q.waiting[begin:end], limit)
 		}
@@ -135,13 +144,10 @@
 	}
 }
 
-// leaveStarts records that the run's start doesn't wait any more. It is removed from
-// Engine.starts by sendStarts.
+// leaveStarts records that the run's start doesn't wait any more.
 func (r *run) leaveStarts() {
-	if r.startWaiting {
-		r.startWaiting = false
-		r.agent.startsWaiting--
-	}
+	r.startWaiting = false
+	r.agent.startsWaiting--
 }
 
 // waitsToStart reports whether the run's start waits to be sent. A run that is listed in
--- a/internal/sched/drive/export_test.go
+++ b/internal/sched/drive/export_test.go
@@ -26,6 +26,9 @@
 	if !maps.Equal(loads, e.runningCPU) {
 		return fmt.Errorf("running CPU is cached as %v, want %v", e.runningCPU, loads)
 	}
+	if err := e.checkStarts(); err != nil {
+		return err
+	}
 	for id, a := range e.agents.byID {
 		if err := e.checkAgentCaches(a); err != nil {
 			return fmt.Errorf("agent %s: %w", id, err)
@@ -34,6 +37,18 @@
 	return nil
 }
 
+// checkStarts checks that each waiting run is listed once, by priority.
+func (e *Engine) checkStarts() error {
+	listed := map[*run]bool{}
+	for i, r := range e.starts.waiting {
+		if listed[r] || !r.startWaiting || i > 0 && e.starts.waiting[i-1].startPriority > r.startPriority {
+			return fmt.Errorf("run %s is listed wrongly among %d that wait to start", r.id(), len(e.starts.waiting))
+		}
+		listed[r] = true
+	}
+	return nil
+}
+
 // CheckIndexes compares the indexes of the agents with ones built from scratch.
 func (e *Engine) CheckIndexes() error {
 	var want directory
--- a/internal/sched/drive/run.go
+++ b/internal/sched/drive/run.go
@@ -161,7 +161,7 @@
 	}
 	if r.waitsToStart() {
 		if reason := e.reasonNotToStart(r); reason != "" {
-			r.leaveStarts()
+			e.starts.remove(r)
 			e.abandonStart(r, reason)
 			return
 		}
--- a/internal/sched/drive/sync.go
+++ b/internal/sched/drive/sync.go
@@ -116,7 +116,7 @@
 	if e.runs[r.task] != r {
 		return
 	}
-	r.leaveStarts()
+	e.starts.remove(r)
 	delete(e.runs, r.task)
 	delete(e.endedJobRuns, r)
 	r.agent.removeRun(r)
