Starts are reported as late after a second; a part of a start for the wait for a slot

By reading: a start that was on its way as its agent's leaving was committed counted as late by milliseconds. 'starts sent late' now asks for a second in both of its times. The wait for a slot is a part of its own in start_part_seconds and in 'stage started'; before it was in 'dispatch'. Logs and metrics only.

--- a/internal/run/ctrl/work.go
+++ b/internal/run/ctrl/work.go
@@ -57,6 +57,9 @@
 
 	// jobName is the queue and the id of a job.
 	jobName struct{ queue, id string }
+
+	// admission decides about a job as its command is proposed; see Engine.Admit.
+	admission func(j jobName, term uint64, leased bool) (ended func(mayBeInLog bool), refusal *admit.Refusal)
 )
 
 var _ wire.WorkServiceServer = (*workService)(nil)
@@ -233,9 +236,6 @@
 	return response, nil
 }
 
-// admission decides about a job as its command is proposed; see Engine.Admit.
-type admission func(j jobName, term uint64, leased bool) (ended func(mayBeInLog bool), refusal *admit.Refusal)
-
 // commitForJob commits a command for the job that a target names. The result's error is
 // graph.ErrUnknownQueue if the target names no queue, that of command, or the refusal of
 // admission. admission may be nil.
--- a/internal/sched/drive/dispatch.go
+++ b/internal/sched/drive/dispatch.go
@@ -18,8 +18,8 @@
 	// processor time that sends all starts at once reads the answers after their time limit,
 	// and sends each start again on a new connection.
 	maxStartsInFlight = 400
-	// maxAgentStarts limits the starts that are in flight to one agent. It leaves some of the
-	// agent's connections for polls and stops, and slots for other agents.
+	// maxAgentStarts limits the starts that are in flight to one agent. An agent has few
+	// connections, which polls and stops need as well.
 	maxAgentStarts = 4
 	// Nothing is placed on an agent for which maxAgentStartsWaiting starts wait, and nothing
 	// of a priority for which maxStartsWaiting starts, with those of higher priority, wait
--- a/internal/sched/drive/metrics.go
+++ b/internal/sched/drive/metrics.go
@@ -43,6 +43,7 @@
 	// The parts of the way from a ready stage to a started run.
 	queueSeconds    = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="queue"}`)
 	commitSeconds   = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="commit"}`)
+	slotSeconds     = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="slot"}`)
 	dispatchSeconds = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="dispatch"}`)
 	callSeconds     = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="call"}`)
 	answerSeconds   = metrics.NewHistogram(`sycamoredeck_start_part_seconds{part="answer"}`)
--- a/internal/sched/drive/progress.go
+++ b/internal/sched/drive/progress.go
@@ -7,8 +7,9 @@
 	"time"
 )
 
-// lateStartAfter is how long after the decision a start may be sent before it is reported.
-// An agent's leaving has to be effective within seconds.
+// lateStartAfter is how long after its decision, or after this leader learned that the agent
+// is leaving, a start may be sent before it is reported. The leaving of an agent has to be
+// effective within seconds.
 const lateStartAfter = time.Second
 
 // stageProgress is when a stage reached each step on the way to its first started run.
@@ -43,6 +44,7 @@
 	var dispatch, call, answer time.Duration
 	if ans.CalledAt != 0 {
 		dispatch, call, answer = ans.CalledAt-ans.Order.SentAt, ans.ReturnedAt-ans.CalledAt, e.now-ans.ReturnedAt
+		slotSeconds.Update(ans.Order.waited.Seconds())
 		dispatchSeconds.Update(dispatch.Seconds())
 		callSeconds.Update(call.Seconds())
 		answerSeconds.Update(answer.Seconds())
@@ -59,7 +61,7 @@
 	p.started = true
 	e.options.Logger.Info("stage started", "job", s.Job.ID, "occurrence", s.Occurrence, "step", s.Index, "agent", r.agent.record.Id,
 		"queue_ms", (p.proposedAt - p.readyAt).Milliseconds(), "commit_ms", (p.committedAt - p.proposedAt).Milliseconds(),
-		"dispatch_ms", dispatch.Milliseconds(), "call_ms", call.Milliseconds(), "answer_ms", answer.Milliseconds())
+		"slot_ms", ans.Order.waited.Milliseconds(), "dispatch_ms", dispatch.Milliseconds(), "call_ms", call.Milliseconds(), "answer_ms", answer.Milliseconds())
 }
 
 // reportLateStart reports a start that was sent long after it was decided, or after this
@@ -69,17 +71,16 @@
 		return
 	}
 	dispatch, leaving := ans.CalledAt-ans.Order.SentAt, time.Duration(0)
-	if since := a.leavingSince; since != 0 {
-		leaving = max(ans.CalledAt-since, 0)
-	}
-	if dispatch <= lateStartAfter && leaving == 0 {
-		return
+	if a.leavingSince != 0 {
+		leaving = ans.CalledAt - a.leavingSince
 	}
 	if dispatch > lateStartAfter {
 		startsLate.Inc()
 	}
-	if leaving > 0 {
+	if leaving > lateStartAfter {
 		startsAfterLeaving.Inc()
 	}
-	e.logs.lateStarts.add(formatRunOn(ans.Order.Run, a), maxRunsListed, fmt.Sprintf("%d/%d", dispatch.Milliseconds(), leaving.Milliseconds()))
+	if max(dispatch, leaving) > lateStartAfter {
+		e.logs.lateStarts.add(formatRunOn(ans.Order.Run, a), maxRunsListed, fmt.Sprintf("%d/%d", dispatch.Milliseconds(), leaving.Milliseconds()))
+	}
 }
